--- /dev/null
+++ b/internal/command/rhubarbgate/dev.go
@@ -0,0 +1,52 @@
+package rhubarbgate
+
+import (
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbgate.example/rhubarbgate/internal/role/dev"
+)
+
+// devReadyTimeout bounds the start of the development fleet.
+const devReadyTimeout = 30 * time.Second
+
+func newDev() *cobra.Command {
+	var listenOn, operatorOn, data, key string
+	c := &cobra.Command{
+		Use:   "dev",
+		Short: "Runs all roles in one process, in front of two stand-in engines",
+		Args:  cobra.NoArgs,
+	}
+	f := c.Flags()
+	f.StringVar(&listenOn, "listen", "127.0.0.1:8080", "IP:PORT for callers")
+	f.StringVar(&operatorOn, "operator", "127.0.0.1:8081", "IP:PORT for operators")
+	f.StringVar(&data, "data", "", "data folder; empty means a new temporary one")
+	f.StringVar(&key, "caller-key", "", "the caller's key; empty means a new one, printed once")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		var k checks
+		d := &dev.Fleet{
+			Listen: k.address("listen", listenOn), Operator: k.address("operator", operatorOn),
+			Data: data, CallerKey: key, Logger: newLogger(os.Stderr, "dev"), Random: newRandom(0),
+		}
+		if err := k.err(); err != nil {
+			return err
+		}
+		if key == "" {
+			d.CallerKey = newCallerKey()
+			c.Printf("caller key (printed once): %s\n", d.CallerKey)
+		}
+		d.Credential = os.Getenv(environmentPrefix + "CREDENTIAL")
+		if d.Credential == "" {
+			d.Credential = newCallerKey()
+			c.Printf("operator credential (printed once): %s\n", d.Credential)
+		}
+		d.Ready = func() {
+			c.Println("ready")
+			c.Printf("curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":\"small\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n", d.Listen, d.CallerKey)
+		}
+		return d.Run(c.Context(), devReadyTimeout)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/controller/configuration/watcher.go
@@ -0,0 +1,219 @@
+package configuration
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
+)
+
+const (
+	// pollWait is how long a poll is held when nothing changes.
+	pollWait = 700 * time.Millisecond
+	// pollTimeout is how long to wait for a held poll before trying another parent.
+	pollTimeout = pollWait + 800*time.Millisecond
+	// pollPause is the wait after a failed poll.
+	pollPause = 100 * time.Millisecond
+	// usefulAge is the age above which another parent is tried.
+	usefulAge = 2 * time.Second
+	// keptBundles is how many bundles a relay keeps for its children.
+	keptBundles = 256
+)
+
+// Watcher follows the configuration of its parents: control hosts or relays. It
+// takes only higher versions.
+type Watcher struct {
+	Wire    *wire.Client
+	Parents []netip.AddrPort
+	Clock   clockwork.Clock
+	Random  *rand.Rand
+	Logger  log.Interface
+	// Failures counts polls that failed.
+	Failures *expvar.Int
+	// Applied is called, if set, after each new version.
+	Applied func(*config.Config)
+
+	mu       sync.RWMutex
+	current  *config.Config
+	bundles  []rhubarbgate.Bundle
+	fresh    time.Time
+	groups   int
+	resync   bool
+	notifier Notifier
+}
+
+var _ Source = (*Watcher)(nil)
+
+// Run polls until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	parent := w.Random.IntN(len(w.Parents))
+	for ctx.Err() == nil {
+		if w.poll(ctx, w.Parents[parent]) {
+			continue
+		}
+		w.Failures.Add(1)
+		parent = (parent + 1) % len(w.Parents)
+		select {
+		case <-ctx.Done():
+		case <-w.Clock.After(pollPause):
+		}
+	}
+}
+
+// poll asks one parent and reports whether its answer was of use.
+func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort) bool {
+	p := &control.Poll{Version: w.version(), Wait: pollWait}
+	if w.Groups() == 0 {
+		p.Wait = 0
+	}
+	sent := w.Clock.Now()
+	attempt, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	r, err := wire.Call[control.PollReply](attempt, w.Wire, parent, control.MethodPoll, p)
+	if err != nil {
+		return false
+	}
+	return w.Take(r, sent)
+}
+
+// version returns the version to ask from: 0 asks for everything.
+func (w *Watcher) version() uint64 {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.resync || w.current == nil {
+		return 0
+	}
+	return w.current.Version
+}
+
+// Take applies a reply to a poll that was sent at the given time. It reports
+// whether the parent is worth asking again.
+func (w *Watcher) Take(r *control.PollReply, sent time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.current
+	if w.current == nil {
+		w.current = config.New()
+	}
+	if !w.advance(r) {
+		return false
+	}
+	w.groups = r.Groups
+	if at := sent.Add(-r.Age); r.Version <= w.current.Version && at.After(w.fresh) {
+		w.fresh = at
+	}
+	if before == nil || w.current.Version > before.Version {
+		if w.Applied != nil {
+			w.Applied(w.current)
+		}
+		w.notifier.Notify()
+	}
+	return r.Age < usefulAge
+}
+
+// advance moves to the version of the reply if it is higher.
+func (w *Watcher) advance(r *control.PollReply) bool {
+	switch {
+	case r.Section != nil && (r.Version > w.current.Version || w.resync):
+		return w.replace(r)
+	case len(r.Bundles) > 0 && r.Version > w.current.Version:
+		return w.applyBundles(r)
+	default:
+		return true
+	}
+}
+
+func (w *Watcher) replace(r *control.PollReply) bool {
+	if r.Version < w.current.Version {
+		return false
+	}
+	c := config.FromSection(r.Version, r.Digest, *r.Section)
+	if c.Sum != r.Sum {
+		w.Logger.WithField("version", r.Version).Error("configuration snapshot with a wrong checksum dropped")
+		return false
+	}
+	w.current, w.bundles, w.resync = c, nil, false
+	return true
+}
+
+// applyBundles applies deltas; after a mismatch the next poll asks for everything.
+func (w *Watcher) applyBundles(r *control.PollReply) bool {
+	c := w.current
+	var taken []rhubarbgate.Bundle
+	for i := range r.Bundles {
+		b := &r.Bundles[i]
+		if b.Version <= c.Version {
+			continue
+		}
+		next, err := c.With(b)
+		if err != nil {
+			w.Logger.WithError(err).Error("configuration delta does not fit")
+			w.resync = true
+			return false
+		}
+		c = next
+		taken = append(taken, *b)
+	}
+	if c.Version == r.Version && c.Sum != r.Sum {
+		w.Logger.WithField("version", r.Version).Error("configuration delta with a wrong checksum dropped")
+		w.resync = true
+		return false
+	}
+	w.current = c
+	w.bundles = append(w.bundles, taken...)
+	if n := len(w.bundles); n > keptBundles {
+		w.bundles = append([]rhubarbgate.Bundle(nil), w.bundles[n-keptBundles:]...)
+	}
+	return true
+}
+
+// Current implements Source.
+func (w *Watcher) Current() *config.Config {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.current == nil {
+		return config.New()
+	}
+	return w.current
+}
+
+// Fresh implements Source.
+func (w *Watcher) Fresh() time.Time {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.fresh
+}
+
+// Since implements Source.
+func (w *Watcher) Since(version uint64) ([]rhubarbgate.Bundle, bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.current == nil || version > w.current.Version {
+		return nil, false
+	}
+	n := w.current.Version - version
+	if n > uint64(len(w.bundles)) {
+		return nil, false
+	}
+	return append([]rhubarbgate.Bundle(nil), w.bundles[uint64(len(w.bundles))-n:]...), true
+}
+
+// Changed implements Source.
+func (w *Watcher) Changed() <-chan struct{} { return w.notifier.Wait() }
+
+// Groups implements Source.
+func (w *Watcher) Groups() int {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.groups
+}
--- /dev/null
+++ b/internal/http/caller/route.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/http/openai"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
+)
+
+// route finds the model or service that a request is for, and copies what is
+// forwarded of it. fasthttp reuses its buffers, so nothing of them is kept.
+type route struct{ server *Server }
+
+// forwardedHeaders are the caller's headers that targets get. Credentials are
+// not among them.
+var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "Idempotency-Key", "User-Agent"}
+
+// Handle implements Filter.
+func (f *route) Handle(x *Exchange, next Handler) error {
+	body, err := readBody(x, maxBodyBytes)
+	if err != nil {
+		return err
+	}
+	x.Body = body
+	x.Method = strings.Clone(x.Fiber.Method())
+	if name := x.Fiber.Params("route"); name != "" {
+		err = f.service(x, strings.Clone(name))
+	} else {
+		err = f.model(x)
+	}
+	if err != nil {
+		return err
+	}
+	f.headers(x)
+	if err := refuseSecret(x); err != nil {
+		return err
+	}
+	return next(x)
+}
+
+func (f *route) model(x *Exchange) error {
+	c, err := openai.ParseCompletion(x.Body)
+	if err != nil {
+		return err
+	}
+	m, ok := x.Config.Models[c.Model]
+	if !ok {
+		return notRun(rhubarbgate.CodeNotFound, "no model %q", c.Model)
+	}
+	x.Path = strings.Clone(x.Fiber.Path())
+	x.Model, x.Stream, x.Prefix, x.Idempotent = c.Model, c.Stream, c.Prefix(), true
+	f.deadline(x, m.Timeout)
+	return nil
+}
+
+func (f *route) service(x *Exchange, name string) error {
+	r, ok := x.Config.Routes[name]
+	if !ok {
+		return notRun(rhubarbgate.CodeNotFound, "no service %q", name)
+	}
+	x.Route, x.Idempotent = name, r.Idempotent
+	x.Path = "/" + strings.Clone(x.Fiber.Params("*"))
+	if q := x.Fiber.Request().URI().QueryString(); len(q) > 0 {
+		x.Path += "?" + string(q)
+	}
+	f.deadline(x, r.Timeout)
+	return nil
+}
+
+func (f *route) deadline(x *Exchange, d time.Duration) {
+	if d > 0 {
+		x.Deadline = x.Arrived.Add(d)
+	}
+}
+
+func (f *route) headers(x *Exchange) {
+	for _, name := range forwardedHeaders {
+		if v := x.Fiber.Request().Header.Peek(name); len(v) > 0 {
+			x.Headers = append(x.Headers, side.Header{Name: name, Value: string(v)})
+		}
+	}
+}
+
+// refuseSecret refuses a request that carries the caller's key outside of the
+// Authorization header, so that no target can see it.
+func refuseSecret(x *Exchange) error {
+	if len(x.Secret) == 0 {
+		return nil
+	}
+	found := bytes.Contains(x.Body, x.Secret) || strings.Contains(x.Path, string(x.Secret))
+	for _, h := range x.Headers {
+		found = found || strings.Contains(h.Value, string(x.Secret))
+	}
+	if found {
+		return notRun(rhubarbgate.CodeInvalid, "the request carries the key outside of the header Authorization")
+	}
+	return nil
+}
+
+// readBody returns a copy of the whole body.
+func readBody(x *Exchange, limit int64) ([]byte, error) {
+	r := x.Fiber.Context().RequestBodyStream()
+	if r == nil {
+		return bytes.Clone(x.Fiber.Body()), nil
+	}
+	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			return nil, tooLarge(limit)
+		}
+		return nil, notRun(rhubarbgate.CodeInvalid, "reading the body: %v", err)
+	}
+	if int64(len(b)) > limit {
+		return nil, tooLarge(limit)
+	}
+	return b, nil
+}
+
+func tooLarge(limit int64) error {
+	return notRun(rhubarbgate.CodeTooLarge, "the body is larger than %d bytes", limit)
+}
--- /dev/null
+++ b/internal/role/control/bootstrap.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+)
+
+const (
+	// bootstrapInterval is how often a host without state asks the others.
+	bootstrapInterval = 200 * time.Millisecond
+	// helloTimeout bounds one question.
+	helloTimeout = time.Second
+)
+
+// bootstrap puts the first membership in force. A host without state learns the
+// incarnations of all members first, so that one that lost its disk later is
+// told from the one that voted before.
+func (h *Host) bootstrap(ctx context.Context) {
+	warned := false
+	for ctx.Err() == nil && !h.initialised() {
+		members, lost := h.firstMembers(ctx)
+		if members != nil {
+			h.install(members)
+		}
+		if lost && !warned {
+			warned = true
+			h.Logger.Error("the group has state but this host has none: remove the member and add it again")
+		}
+		select {
+		case <-ctx.Done():
+		case <-h.Clock.After(bootstrapInterval):
+		}
+	}
+}
+
+// initialised reports whether all groups have a membership.
+func (h *Host) initialised() bool {
+	for _, g := range h.groups {
+		if len(g.Status().Members) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// firstMembers returns the first membership once it is known. lost reports that
+// the group exists but does not know this incarnation.
+func (h *Host) firstMembers(ctx context.Context) (first raft.Members, lost bool) {
+	if h.Join {
+		return nil, false
+	}
+	var blank raft.Members
+	for _, id := range slices.Sorted(maps.Keys(h.Members)) {
+		r, err := h.hello(ctx, id)
+		if err != nil {
+			continue
+		}
+		if r.Initialised {
+			self, ok := r.Members.Find(h.ID)
+			if ok && self.Incarnation == h.identity.Incarnation {
+				return r.Members, false
+			}
+			return nil, true
+		}
+		blank = blank.With(raft.Member{ID: r.ID, Incarnation: r.Incarnation, Address: h.Members[id]})
+	}
+	if len(blank) < len(h.Members) {
+		return nil, false
+	}
+	return blank, false
+}
+
+func (h *Host) hello(ctx context.Context, id uint64) (*control.HelloReply, error) {
+	if id == h.ID {
+		return h.sayHello(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	return wire.Call[control.HelloReply](ctx, h.wire, h.Members[id], control.MethodHello, &control.Hello{})
+}
+
+func (h *Host) sayHello() *control.HelloReply {
+	s := h.groups[control.FleetGroup].Status()
+	r := &control.HelloReply{ID: h.ID, Incarnation: h.identity.Incarnation, Address: h.Listen, Groups: h.JobGroups}
+	r.Initialised = len(s.Members) > 0
+	r.Members = s.First
+	return r
+}
+
+// install bootstraps the groups that have no state yet.
+func (h *Host) install(m raft.Members) {
+	for _, g := range h.groups {
+		if len(g.Status().Members) > 0 {
+			continue
+		}
+		if err := g.Bootstrap(m); err != nil {
+			h.fail(err)
+			return
+		}
+	}
+	h.Logger.WithField("members", len(m)).Info("groups bootstrapped")
+}
--- /dev/null
+++ b/internal/role/control/host.go
@@ -0,0 +1,269 @@
+// Package control is the role of a control host: the replicated groups and what their leaders own.
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/controller/batch"
+	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/policy/order"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/peer"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
+	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
+	"rhubarbgate.example/rhubarbgate/internal/state/shard"
+	"rhubarbgate.example/rhubarbgate/internal/storage/disk"
+)
+
+const (
+	// ClockDrift is the largest relative error of a clock that the leases allow for.
+	ClockDrift = 0.01
+	// GrantTTL is how long an entry may spend prepaid tokens.
+	GrantTTL = 3 * time.Second
+	// defaultElection is the shortest time without a leader before an election.
+	defaultElection = 600 * time.Millisecond
+	// defaultHeartbeat is the interval of a leader's heartbeats.
+	defaultHeartbeat = 100 * time.Millisecond
+	// snapshotBytes is the size of a group's log at which a snapshot is taken.
+	snapshotBytes = 16 << 20
+	// leadershipInterval is how often a host checks what it leads.
+	leadershipInterval = 20 * time.Millisecond
+	// shutdownPause lets a handover of leadership finish before the host stops.
+	shutdownPause = 300 * time.Millisecond
+)
+
+// Host is one control host. Set the exported fields before Run.
+type Host struct {
+	ID      uint64
+	Data    string
+	Listen  netip.AddrPort
+	Members map[uint64]netip.AddrPort
+	// Join hosts wait to be added to an existing group.
+	Join      bool
+	JobGroups int
+	Operators config.Operators
+	TLS       *tls.Config // for connections to other hosts
+	Listener  net.Listener
+	Clock     clockwork.Clock
+	Random    *rand.Rand
+	Logger    log.Interface
+	Metrics   *expvar.Map
+	// MaxBatch bounds the commands synced together; 0 means no bound.
+	MaxBatch int
+
+	identity  disk.Identity
+	fleet     *fleet.Machine
+	groups    []*raft.Group
+	shards    []*leadership // by group, from 1
+	transport *peer.Transport
+	wire      *wire.Client
+	notifier  configuration.Notifier
+	serving   atomic.Bool
+	failure   chan error
+}
+
+// leadership is what the leader of a job group owns.
+type leadership struct {
+	group      *raft.Group
+	machine    *shard.Machine
+	owner      *limit.Owner
+	dispatcher *batch.Dispatcher
+	// term is the term for which owner and dispatcher have begun.
+	term atomic.Uint64
+}
+
+// Open creates the groups and reads their state.
+func (h *Host) Open() error {
+	id, err := disk.LoadIdentity(h.Data, h.ID, h.Random)
+	if err != nil {
+		return errors.Annotate(err, "data folder")
+	}
+	h.identity = id
+	h.failure = make(chan error, h.JobGroups+1)
+	h.wire = wire.NewClient(h.TLS)
+	h.transport = &peer.Transport{Client: h.wire, Clock: h.Clock, Dropped: new(expvar.Int)}
+	h.Metrics.Set("PeerMessagesDropped", h.transport.Dropped)
+	h.fleet = fleet.New()
+	h.fleet.Changed = func(*config.Config) { h.notifier.Notify() }
+	if err := h.addGroup(control.FleetGroup, h.fleet); err != nil {
+		return errors.Trace(err)
+	}
+	for i := 1; i <= h.JobGroups; i++ {
+		if err := h.addShard(uint32(i)); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (h *Host) addShard(id uint32) error {
+	dir := filepath.Join(h.Data, "spill")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return errors.Trace(err)
+	}
+	m := shard.New(&disk.Spill{Dir: dir})
+	if err := h.addGroup(id, m); err != nil {
+		return errors.Trace(err)
+	}
+	l := &leadership{group: h.groups[id], machine: m}
+	l.owner = &limit.Owner{Clock: h.Clock, Rates: h.rate, TTL: GrantTTL, Drift: ClockDrift}
+	l.dispatcher = &batch.Dispatcher{
+		Clock: h.Clock, Machine: m.Jobs,
+		Order:    &order.Deadline{Floor: order.DefaultFloor, Random: rand.New(rand.NewPCG(h.Random.Uint64(), uint64(id)))},
+		Weight:   func(w string) float64 { return h.fleet.Current().Weight(w) },
+		ItemRate: h.itemRate,
+	}
+	h.shards = append(h.shards, l)
+	return nil
+}
+
+func (h *Host) rate(workspace string) (limit.Rate, bool) {
+	w, ok := h.fleet.Current().Workspaces[workspace]
+	return limit.Rate{PerSecond: w.Rate, Burst: w.Burst}, ok
+}
+
+func (h *Host) itemRate(workspace string) (limit.Rate, bool) {
+	w := h.fleet.Current().Workspaces[workspace]
+	return limit.Rate{PerSecond: w.ItemRate, Burst: max(w.ItemBurst, 1)}, w.ItemRate > 0
+}
+
+func (h *Host) addGroup(id uint32, m rhubarbgate.StateMachine) error {
+	dir := filepath.Join(h.Data, fmt.Sprintf("group-%d", id))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return errors.Trace(err)
+	}
+	snapshots := &disk.Snapshots{Dir: dir}
+	if err := snapshots.Load(); err != nil {
+		return errors.Trace(err)
+	}
+	g := &raft.Group{
+		ID:          id,
+		Self:        raft.Member{ID: h.ID, Incarnation: h.identity.Incarnation, Address: h.Listen},
+		Clock:       h.Clock,
+		Random:      rand.New(rand.NewPCG(h.Random.Uint64(), uint64(id))),
+		Log:         &disk.Log{Dir: dir},
+		Snapshots:   snapshots,
+		Transport:   h.transport,
+		Machine:     m,
+		Logger:      h.Logger,
+		ElectionMin: defaultElection, Heartbeat: defaultHeartbeat, Drift: ClockDrift,
+		SnapshotBytes: snapshotBytes,
+		MaxBatch:      h.MaxBatch,
+	}
+	if err := g.Open(); err != nil {
+		return errors.Trace(err)
+	}
+	h.groups = append(h.groups, g)
+	return nil
+}
+
+// Run serves until ctx ends. It then hands leadership over before it stops.
+func (h *Host) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	h.transport.Start(work)
+	mux := wire.NewMux()
+	h.register(mux)
+	var tasks conc.WaitGroup
+	tasks.Go(func() { h.fail(mux.Serve(work, h.Listener)) })
+	for _, g := range h.groups {
+		tasks.Go(func() { h.fail(g.Run(work)) })
+	}
+	tasks.Go(func() { h.bootstrap(work) })
+	tasks.Go(func() { h.lead(work) })
+	h.serving.Store(true)
+	var err error
+	select {
+	case <-ctx.Done():
+		h.handOver()
+	case err = <-h.failure:
+	}
+	h.serving.Store(false)
+	stop()
+	tasks.Wait()
+	h.transport.Wait()
+	return errors.Trace(err)
+}
+
+func (h *Host) fail(err error) {
+	if err == nil {
+		return
+	}
+	select {
+	case h.failure <- err:
+	default:
+	}
+}
+
+// handOver gives leadership away, so that a planned stop leaves no gap.
+func (h *Host) handOver() {
+	for _, g := range h.groups {
+		g.Transfer()
+	}
+	h.Clock.Sleep(shutdownPause)
+}
+
+// Ready reports whether the host takes part in its groups.
+func (h *Host) Ready() bool {
+	return h.serving.Load() && len(h.groups[control.FleetGroup].Status().Members) > 0
+}
+
+// lead starts owners and dispatchers of groups that this host comes to lead, and
+// ends leases that were not renewed.
+func (h *Host) lead(ctx context.Context) {
+	t := h.Clock.NewTicker(leadershipInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+		}
+		for _, l := range h.shards {
+			l.check(h)
+		}
+	}
+}
+
+// check begins a new term of leadership as soon as its lease is valid.
+func (l *leadership) check(h *Host) {
+	s := l.group.Status()
+	if s.Phase != raft.Leader || !l.group.Leased() {
+		return
+	}
+	if l.term.Load() != s.Term {
+		if s.Applied < s.Commit {
+			return
+		}
+		l.owner.Begin()
+		l.dispatcher.Begin()
+		l.term.Store(s.Term)
+		return
+	}
+	l.expire(h)
+}
+
+// leads reports whether this host may act as the group's leader now.
+func (l *leadership) leads() bool {
+	s := l.group.Status()
+	return s.Phase == raft.Leader && l.term.Load() == s.Term && l.group.Leased()
+}
--- /dev/null
+++ b/internal/role/control/rpc.go
@@ -0,0 +1,325 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/controller/batch"
+	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/peer"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
+	"rhubarbgate.example/rhubarbgate/internal/state/shard"
+)
+
+const (
+	// maxLease bounds the items granted by one call.
+	maxLease = 256
+	// maxPageBytes bounds one page of results.
+	maxPageBytes = 1 << 20
+)
+
+func (h *Host) register(m *wire.Mux) {
+	peer.Register(m, h.receive)
+	configuration.Register(m, h, h.Clock)
+	anyone := append([]wire.Role{wire.RoleOperator}, wire.Daemons...)
+	submitters := []wire.Role{wire.RoleEntry, wire.RoleSide, wire.RoleControl, wire.RoleOperator}
+	readers := []wire.Role{wire.RoleEntry, wire.RoleControl, wire.RoleOperator}
+	wire.Unary(m, control.MethodHello, anyone, func(context.Context, *control.Hello) (*control.HelloReply, error) { return h.sayHello(), nil })
+	wire.Unary(m, control.MethodStatus, wire.Operators, func(context.Context, *control.Hello) (*control.StatusReply, error) { return h.Status(), nil })
+	wire.Unary(m, control.MethodSettle, wire.Entries, h.settle)
+	wire.Unary(m, control.MethodPropose, submitters, h.proposeCommand)
+	wire.Unary(m, control.MethodLease, wire.Sides, h.lease)
+	wire.Unary(m, control.MethodRenew, wire.Sides, h.renew)
+	wire.Unary(m, control.MethodQuery, readers, h.query)
+	wire.Unary(m, control.MethodCommit, wire.Operators, h.commit)
+	wire.Unary(m, control.MethodMember, wire.Operators, h.member)
+}
+
+func (h *Host) receive(m raft.Message) {
+	if int(m.Group) < len(h.groups) {
+		h.groups[m.Group].Receive(m)
+	}
+}
+
+// routing points a caller to the group's leader.
+func (h *Host) routing(group uint32) control.Routing {
+	s := h.groups[group].Status()
+	r := control.Routing{NotLeader: true}
+	if m, ok := s.Members.Find(s.Leader); ok && s.Leader != h.ID {
+		r.Leader = m.Address
+	}
+	return r
+}
+
+func (h *Host) shard(group uint32) (*leadership, error) {
+	if group == 0 || int(group) > len(h.shards) {
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "no job group %d", group)
+	}
+	return h.shards[group-1], nil
+}
+
+// propose commits a command and returns its result. moved reports that this
+// host does not lead the group.
+func (h *Host) propose(ctx context.Context, group uint32, command any) (result any, moved bool, err error) {
+	data, err := wire.Marshal(command)
+	if err != nil {
+		return nil, false, errors.Trace(err)
+	}
+	done := make(chan raft.Result, 1)
+	h.groups[group].Propose(data, func(r raft.Result) { done <- r })
+	return await(ctx, done)
+}
+
+func await(ctx context.Context, done <-chan raft.Result) (result any, moved bool, err error) {
+	select {
+	case r := <-done:
+		if errors.Is(r.Err, raft.ErrNotLeader) || errors.Is(r.Err, raft.ErrStopped) {
+			return nil, true, nil
+		}
+		if errors.Is(r.Err, raft.ErrUnknown) {
+			return nil, false, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.MayHaveRun, "leadership was lost before the command was committed")
+		}
+		return r.Value, false, r.Err
+	case <-ctx.Done():
+		return nil, false, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.MayHaveRun, "the command was not committed in time")
+	}
+}
+
+func (h *Host) settle(_ context.Context, in *control.Settle) (*control.SettleReply, error) {
+	l, err := h.shard(in.Group)
+	if err != nil {
+		return nil, err
+	}
+	if !l.leads() {
+		return &control.SettleReply{Routing: h.routing(in.Group)}, nil
+	}
+	grants := l.owner.Settle(in.Holder, in.Asks)
+	// A grant counts only if the lease still held after it was made.
+	if !l.leads() {
+		return &control.SettleReply{Routing: h.routing(in.Group)}, nil
+	}
+	return &control.SettleReply{Grants: grants}, nil
+}
+
+func (h *Host) proposeCommand(ctx context.Context, in *control.Propose) (*control.ProposeReply, error) {
+	l, err := h.shard(in.Group)
+	if err != nil {
+		return nil, err
+	}
+	if err := mayPropose(wire.PeerFrom(ctx), &in.Command); err != nil {
+		return nil, err
+	}
+	if !l.leads() {
+		return &control.ProposeReply{Routing: h.routing(in.Group)}, nil
+	}
+	h.stamp(&in.Command)
+	v, moved, err := h.propose(ctx, in.Group, &in.Command)
+	if err != nil {
+		return nil, err
+	}
+	if moved {
+		return &control.ProposeReply{Routing: h.routing(in.Group)}, nil
+	}
+	r, _ := v.(*shard.Result)
+	l.noteEnded(in.Command.Jobs, r)
+	return &control.ProposeReply{Result: r}, nil
+}
+
+// stamp sets the leader's time of day, so that all replicas use the same.
+func (h *Host) stamp(c *shard.Command) {
+	now := h.Clock.Now().UTC()
+	if c.Jobs != nil {
+		c.Jobs.At = now
+	}
+	if c.Claims != nil {
+		c.Claims.At = now
+	}
+	if c.Burn != nil {
+		c.Burn.At = now
+	}
+}
+
+// mayPropose checks that the peer's role may issue the command.
+func mayPropose(p wire.Peer, c *shard.Command) error {
+	if !p.TLS {
+		return nil
+	}
+	ok := false
+	switch {
+	case c.Claims != nil || c.Burn != nil:
+		ok = p.Role == wire.RoleEntry
+	case c.Jobs == nil:
+	case c.Jobs.Start != nil || c.Jobs.Return != nil || c.Jobs.Complete != nil:
+		ok = p.Role == wire.RoleSide
+	case c.Jobs.CancelJob != nil:
+		ok = p.Role != wire.RoleSide
+	case c.Jobs.Lease != nil || c.Jobs.Expire != nil || c.Jobs.Collect != nil:
+		// Only a leader issues these, to itself.
+	default:
+		ok = p.Role == wire.RoleEntry
+	}
+	if !ok {
+		return rhubarbgate.Errorf(rhubarbgate.CodeForbidden, rhubarbgate.NotRun, "the role %v may not issue this command", p.Role)
+	}
+	return nil
+}
+
+// noteEnded tells the dispatcher which leases a command ended.
+func (l *leadership) noteEnded(c *jobs.Command, r *shard.Result) {
+	if c == nil || r == nil || r.Jobs == nil {
+		return
+	}
+	if c.Return != nil {
+		l.dispatcher.Ended(c.Return.Items, 0)
+	}
+	if c.Complete == nil {
+		return
+	}
+	refs := make([]jobs.ItemRef, len(c.Complete.Outcomes))
+	for i, o := range c.Complete.Outcomes {
+		refs[i] = o.Ref
+	}
+	l.dispatcher.Ended(refs, len(refs))
+}
+
+func (h *Host) lease(ctx context.Context, in *control.Lease) (*control.LeaseReply, error) {
+	l, err := h.shard(in.Group)
+	if err != nil {
+		return nil, err
+	}
+	if !l.leads() {
+		return &control.LeaseReply{Routing: h.routing(in.Group)}, nil
+	}
+	refs := l.dispatcher.Pick(in.Needs, min(in.Count, maxLease))
+	if len(refs) == 0 {
+		return &control.LeaseReply{TTL: batch.LeaseTTL}, nil
+	}
+	c := &shard.Command{Jobs: &jobs.Command{Lease: &jobs.Lease{Side: in.Side, Items: refs}}}
+	h.stamp(c)
+	v, moved, err := h.propose(ctx, in.Group, c)
+	if err != nil {
+		return nil, err
+	}
+	if moved {
+		return &control.LeaseReply{Routing: h.routing(in.Group)}, nil
+	}
+	r, _ := v.(*shard.Result)
+	l.dispatcher.Granted(refs, r.Jobs.Granted)
+	granted, err := l.withLines(r.Jobs.Granted)
+	if err != nil {
+		return nil, err
+	}
+	return &control.LeaseReply{Granted: granted, TTL: batch.LeaseTTL}, nil
+}
+
+func (l *leadership) withLines(grants []jobs.Grant) ([]jobs.Grant, error) {
+	for i := range grants {
+		line, err := l.machine.Jobs.Line(grants[i].Ref)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		grants[i].Line = line
+	}
+	return grants, nil
+}
+
+func (h *Host) renew(_ context.Context, in *control.Renew) (*control.RenewReply, error) {
+	l, err := h.shard(in.Group)
+	if err != nil {
+		return nil, err
+	}
+	if !l.leads() {
+		return &control.RenewReply{Routing: h.routing(in.Group)}, nil
+	}
+	return &control.RenewReply{Live: l.dispatcher.Renew(in.Items)}, nil
+}
+
+// expire ends the leases that were not renewed.
+func (l *leadership) expire(h *Host) {
+	refs := l.dispatcher.Expired()
+	if len(refs) == 0 {
+		return
+	}
+	c := &shard.Command{Jobs: &jobs.Command{Expire: &jobs.Expire{Items: refs}}}
+	h.stamp(c)
+	data, err := wire.Marshal(c)
+	if err != nil {
+		h.fail(err)
+		return
+	}
+	// If the command is lost, the next leader gives the leases a new TTL.
+	l.group.Propose(data, func(r raft.Result) {
+		if r.Err == nil {
+			h.Metrics.Add("LeasesExpired", int64(len(refs)))
+		}
+	})
+}
+
+// commit checks the sign-off of a bundle and commits it.
+func (h *Host) commit(ctx context.Context, in *control.Commit) (*control.CommitReply, error) {
+	if err := h.Operators.Verify(&in.Bundle); err != nil {
+		return nil, err
+	}
+	v, moved, err := h.propose(ctx, control.FleetGroup, &fleet.Command{Bundle: &in.Bundle})
+	if err != nil {
+		return nil, err
+	}
+	if moved {
+		return &control.CommitReply{Routing: h.routing(control.FleetGroup)}, nil
+	}
+	r, _ := v.(*fleet.Committed)
+	return &control.CommitReply{Result: r}, nil
+}
+
+// member changes the membership of one group.
+func (h *Host) member(ctx context.Context, in *control.Member) (*control.MemberReply, error) {
+	if int(in.Group) >= len(h.groups) {
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "no group %d", in.Group)
+	}
+	done := make(chan raft.Result, 1)
+	h.groups[in.Group].Change(func(m raft.Members) raft.Members { return changed(m, in) }, func(r raft.Result) { done <- r })
+	_, moved, err := await(ctx, done)
+	if errors.Is(err, raft.ErrBusy) {
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "group %d: %v", in.Group, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if moved {
+		return &control.MemberReply{Routing: h.routing(in.Group)}, nil
+	}
+	return &control.MemberReply{}, nil
+}
+
+// changed applies a change; a repeated one changes nothing.
+func changed(m raft.Members, in *control.Member) raft.Members {
+	if in.Remove != 0 {
+		m = m.Without(in.Remove)
+	}
+	if in.Add == nil {
+		return m
+	}
+	if old, ok := m.Find(in.Add.ID); ok && old.Incarnation == in.Add.Incarnation {
+		return m
+	}
+	add := *in.Add
+	add.Learner = true
+	return m.With(add)
+}
+
+// Status describes the host.
+func (h *Host) Status() *control.StatusReply {
+	r := &control.StatusReply{ID: h.ID, Address: h.Listen, Version: h.Current().Version}
+	r.Age = h.Clock.Now().Sub(h.Fresh()).Round(time.Millisecond)
+	for _, g := range h.groups {
+		r.Groups = append(r.Groups, g.Status())
+	}
+	return r
+}
--- /dev/null
+++ b/internal/role/dev/fleet.go
@@ -0,0 +1,366 @@
+// Package dev runs a whole small fleet in one process, in front of stand-in engines.
+package dev
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"expvar"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/http/operator"
+	rolecontrol "rhubarbgate.example/rhubarbgate/internal/role/control"
+	"rhubarbgate.example/rhubarbgate/internal/role/entry"
+	"rhubarbgate.example/rhubarbgate/internal/role/side"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/security/authority"
+	"rhubarbgate.example/rhubarbgate/internal/security/reload"
+	"rhubarbgate.example/rhubarbgate/internal/standin/engine"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
+)
+
+const (
+	// engines is how many stand-in engines run, each with its side.
+	engines = 2
+	// zone is the availability zone of all roles.
+	zone = "local"
+	// modelName and routeName are what the first bundle configures.
+	modelName = "small"
+	routeName = "slips"
+	// jobGroups is the number of job groups.
+	jobGroups = 2
+	// operatorName signs the first bundle.
+	operatorName = "dev"
+	// certificateLifetime outlasts any development session.
+	certificateLifetime = 365 * 24 * time.Hour
+	maxAge              = 4 * time.Second
+	grace               = 10 * time.Second
+	readyPoll           = 20 * time.Millisecond
+	slots               = 32
+)
+
+// Fleet is a control host, an entry, sides and stand-in engines on loopback.
+type Fleet struct {
+	Listen     netip.AddrPort // for callers
+	Operator   netip.AddrPort
+	Data       string // empty means a new temporary folder
+	CallerKey  string
+	Credential string
+	Logger     log.Interface
+	Random     *mathrand.Rand
+	// Ready is called once requests can be served.
+	Ready func()
+
+	clock   clockwork.Clock
+	ca      *authority.Pair
+	private ed25519.PrivateKey
+	control netip.AddrPort
+	targets []rhubarbgate.Target
+	tasks   conc.WaitGroup
+	failed  chan error
+	stop    context.CancelFunc
+	// infrastructure outlives the entry, so that it can finish its requests.
+	infrastructure context.Context
+}
+
+// Run serves until ctx ends. It fails if the fleet is not ready in time.
+func (f *Fleet) Run(ctx context.Context, readyTimeout time.Duration) error {
+	f.clock = clockwork.NewRealClock()
+	f.failed = make(chan error, 16)
+	f.infrastructure, f.stop = context.WithCancel(context.WithoutCancel(ctx))
+	defer f.tasks.Wait()
+	defer f.stop()
+	if f.Data == "" {
+		dir, err := os.MkdirTemp("", "rhubarbgate")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer os.RemoveAll(dir)
+		f.Data = dir
+	}
+	if err := f.prepare(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := f.start(); err != nil {
+		return errors.Trace(err)
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.configure(ready); err != nil {
+		return errors.Trace(err)
+	}
+	return f.serve(ctx, ready)
+}
+
+// prepare makes the fleet's authority and the operator's key. They are kept in
+// the data folder, so that a restart finds its own bundles again.
+func (f *Fleet) prepare() error {
+	var err error
+	if f.ca, err = authority.New(f.clock.Now(), certificateLifetime); err != nil {
+		return errors.Trace(err)
+	}
+	path := filepath.Join(f.Data, "operator.seed")
+	seed, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		seed = make([]byte, ed25519.SeedSize)
+		_, _ = rand.Read(seed) // it ends the process instead of failing
+		err = os.WriteFile(path, seed, 0o600)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if len(seed) != ed25519.SeedSize {
+		return errors.NotValidf("%s", path)
+	}
+	f.private = ed25519.NewKeyFromSeed(seed)
+	return nil
+}
+
+func (f *Fleet) tls(r wire.Role) (*tls.Config, error) {
+	p, err := f.ca.Issue(r, "dev-"+r.String(), f.clock.Now(), certificateLifetime)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	k, err := reload.Fixed(p.Certificate, p.Key, f.ca.Certificate, f.clock)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return k.Config(), nil
+}
+
+// listen opens a port on loopback, with TLS if c is set.
+func listen(c *tls.Config) (net.Listener, netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, errors.Trace(err)
+	}
+	a := l.Addr().(*net.TCPAddr).AddrPort()
+	if c != nil {
+		l = tls.NewListener(l, c)
+	}
+	return l, a, nil
+}
+
+// spawn runs a part of the fleet; a failure ends the whole.
+func (f *Fleet) spawn(run func(context.Context) error) {
+	f.tasks.Go(func() {
+		if err := run(f.infrastructure); err != nil {
+			f.failed <- err
+		}
+	})
+}
+
+func (f *Fleet) start() error {
+	if err := f.startControl(); err != nil {
+		return errors.Annotate(err, "control")
+	}
+	for i := range engines {
+		if err := f.startTarget(i); err != nil {
+			return errors.Annotatef(err, "target %d", i)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startControl() error {
+	c, err := f.tls(wire.RoleControl)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l, a, err := listen(c)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	f.control = a
+	h := &rolecontrol.Host{
+		ID: 1, Data: filepath.Join(f.Data, "control"), Listen: a, Members: map[uint64]netip.AddrPort{1: a},
+		JobGroups: jobGroups, TLS: c, Listener: l, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Control"),
+		Operators: config.Operators{
+			Keys:      map[string]ed25519.PublicKey{operatorName: f.private.Public().(ed25519.PublicKey)},
+			Threshold: 1,
+		},
+	}
+	if err := h.Open(); err != nil {
+		return errors.Trace(err)
+	}
+	f.spawn(h.Run)
+	return f.startOperator(h, c)
+}
+
+func (f *Fleet) startOperator(h *rolecontrol.Host, c *tls.Config) error {
+	l, err := net.Listen("tcp", f.Operator.String())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	o := &operator.Server{
+		Credential: f.Credential, Source: h,
+		Client: &control.Client{Wire: wire.NewClient(c), Hosts: []netip.AddrPort{f.control}, Clock: f.clock},
+	}
+	o.Prepare()
+	f.spawn(func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = o.Close() })
+		defer stop()
+		return o.Serve(l)
+	})
+	return nil
+}
+
+func (f *Fleet) startTarget(i int) error {
+	el, ea, err := listen(nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	e := &engine.Engine{
+		Clock: f.clock, StepBase: 20 * time.Millisecond, StepPerStream: 50 * time.Microsecond,
+		PrefillPerToken: 20 * time.Microsecond, Slots: slots, CacheBlocks: 4096,
+	}
+	f.spawn(func(ctx context.Context) error { return e.Run(ctx, el) })
+	c, err := f.tls(wire.RoleSide)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l, a, err := listen(c)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	name := fmt.Sprintf("standin-%d", i)
+	h := &side.Host{
+		Name: name, Target: ea, Listener: l, AvailabilityZone: zone,
+		Parents: []netip.AddrPort{f.control}, Control: []netip.AddrPort{f.control}, Slots: slots, Batch: true,
+		TLS: c, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Side" + name),
+		MaxAge: maxAge, Grace: grace,
+	}
+	f.targets = append(f.targets, rhubarbgate.Target{
+		Name: name, Address: a, AvailabilityZone: zone, Models: []string{modelName}, Routes: []string{routeName}, Slots: slots,
+	})
+	f.spawn(h.Run)
+	return nil
+}
+
+// configure commits a bundle with the new addresses of the targets.
+func (f *Fleet) configure(ctx context.Context) error {
+	c, err := f.tls(wire.RoleOperator)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	client := &control.Client{Wire: wire.NewClient(c), Hosts: []netip.AddrPort{f.control}, Clock: f.clock}
+	base, err := f.version(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	b := rhubarbgate.Bundle{Base: base, Version: base + 1, Note: "development fleet", Put: f.section()}
+	config.Sign(&b, operatorName, f.private)
+	r, err := client.Commit(ctx, &control.Commit{Bundle: b})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if r.Result.Err != nil {
+		return r.Result.Err
+	}
+	return nil
+}
+
+// version waits for a leader and returns the version in force.
+func (f *Fleet) version(ctx context.Context) (uint64, error) {
+	o := &operator.Client{Base: "http://" + f.Operator.String(), Credential: f.Credential}
+	for {
+		x, err := o.Configuration()
+		if err == nil && x.Age < maxAge {
+			return x.Version, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, errors.Annotate(ctx.Err(), "waiting for the control host")
+		case err := <-f.failed:
+			return 0, errors.Trace(err)
+		case <-f.clock.After(readyPoll):
+		}
+	}
+}
+
+func (f *Fleet) section() rhubarbgate.Section {
+	return rhubarbgate.Section{
+		Workspaces: []rhubarbgate.Workspace{{Name: "dev", Rate: 1000, Burst: 1000}},
+		Keys:       []rhubarbgate.Key{{Digest: config.KeyDigest(f.CallerKey), Workspace: "dev"}},
+		Routes:     []rhubarbgate.Route{{Name: routeName}},
+		Models:     []rhubarbgate.Model{{Name: modelName}},
+		Targets:    f.targets,
+		Objectives: []rhubarbgate.Objective{{Name: "online", Goal: 0.95, FirstToken: 1300 * time.Millisecond, BetweenTokens: 68 * time.Millisecond}},
+	}
+}
+
+// serve runs the entry until ctx ends.
+func (f *Fleet) serve(ctx, ready context.Context) error {
+	c, err := f.tls(wire.RoleEntry)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l, err := net.Listen("tcp", f.Listen.String())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	h := &entry.Host{
+		Listener: l, AvailabilityZone: zone, Parents: []netip.AddrPort{f.control}, Control: []netip.AddrPort{f.control},
+		TLS: c, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Entry"),
+		MaxAge: maxAge, Grace: grace,
+	}
+	entryDone := make(chan error, 1)
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { entryDone <- h.Run(run) }()
+	if err := f.awaitReady(ready, h); err != nil {
+		cancel()
+		<-entryDone
+		return errors.Trace(err)
+	}
+	if f.Ready != nil {
+		f.Ready()
+	}
+	select {
+	case err = <-entryDone:
+	case err = <-f.failed:
+		cancel()
+		<-entryDone
+	}
+	return errors.Trace(err)
+}
+
+func (f *Fleet) awaitReady(ctx context.Context, h *entry.Host) error {
+	for !h.ServesModel(modelName) {
+		select {
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "waiting for the entry")
+		case err := <-f.failed:
+			return errors.Trace(err)
+		case <-f.clock.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) random() *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(f.Random.Uint64(), f.Random.Uint64()))
+}
+
+// metrics returns a map that is published once a process, so that tests may
+// start several fleets.
+func metrics(name string) *expvar.Map {
+	if expvar.Get(name) == nil {
+		return expvar.NewMap(name)
+	}
+	return new(expvar.Map).Init()
+}
--- /dev/null
+++ b/internal/role/entry/host.go
@@ -0,0 +1,176 @@
+// Package entry is the role of the thin hosts behind the balancer: they admit callers' requests and choose a target.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/burnrate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
+	"rhubarbgate.example/rhubarbgate/internal/controller/targets"
+	"rhubarbgate.example/rhubarbgate/internal/http/caller"
+	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
+	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
+)
+
+const (
+	// retryRatio is how many retries one success earns.
+	retryRatio = 0.1
+	// retryReserve is how many retries may be saved up.
+	retryReserve = 20
+	// drainPoll is how often a leaving entry looks whether its requests have ended.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Host is one entry process. Set the exported fields before Run.
+type Host struct {
+	Listener         net.Listener // for callers
+	Relay            net.Listener // for daemons that poll configuration here; may be nil
+	AvailabilityZone string
+	Parents          []netip.AddrPort
+	Control          []netip.AddrPort
+	// Picker names the choice of target: affinity, two-choices, helper-cost or round-robin.
+	Picker string
+	// UnlimitedRetries replaces the retry budget by the baseline.
+	UnlimitedRetries bool
+	TLS              *tls.Config
+	Clock            clockwork.Clock
+	Random           *rand.Rand
+	Logger           log.Interface
+	Metrics          *expvar.Map
+	MaxAge           time.Duration
+	// Lag is how long the balancer may still send callers after the health check fails.
+	Lag time.Duration
+	// Grace is how long a leaving entry waits for its requests.
+	Grace time.Duration
+
+	server *caller.Server
+	table  atomic.Pointer[targets.Table]
+}
+
+// Run serves until ctx ends; then it finishes the requests under way and stops.
+func (h *Host) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	name := strconv.FormatUint(h.Random.Uint64(), 36)
+	client := wire.NewClient(h.TLS)
+	controls := &control.Client{Wire: client, Hosts: h.Control, Clock: h.Clock}
+	table := &targets.Table{
+		Wire: client, Clock: h.Clock, Logger: h.Logger,
+		AvailabilityZone: h.AvailabilityZone, Ejections: h.counter("TargetsEjected"),
+	}
+	table.Start(work)
+	h.table.Store(table)
+	watcher := &configuration.Watcher{
+		Wire: client, Parents: h.Parents, Clock: h.Clock, Random: h.random(1), Logger: h.Logger,
+		Failures: h.counter("ConfigPollFailures"),
+		Applied:  func(c *config.Config) { table.Update(c) },
+	}
+	exchange := &limits.Exchange{
+		Holder: &limit.Holder{Clock: h.Clock}, Client: controls, Clock: h.Clock, Name: name,
+		Groups: watcher.Groups, Exchanges: h.counter("LimitExchanges"),
+	}
+	exchange.Start()
+	recorder := &burnrate.Recorder{
+		Source: watcher, Client: controls, Clock: h.Clock, Name: name, Pushes: h.counter("BurnPushes"),
+	}
+	h.server = &caller.Server{
+		Source: watcher, Holder: exchange.Holder, Targets: table, Wire: client, Control: controls,
+		Picker: h.picker(), Budget: h.budget(), Clock: h.Clock, Random: h.random(2), Logger: h.Logger,
+		Counts: caller.NewCounters(h.Metrics), Observe: recorder.Observe, MaxAge: h.MaxAge, Name: name,
+	}
+	h.server.Prepare()
+	var tasks conc.WaitGroup
+	served := make(chan error, 2)
+	tasks.Go(func() { watcher.Run(work) })
+	tasks.Go(func() { table.Run(work) })
+	tasks.Go(func() { exchange.Run(work) })
+	tasks.Go(func() { recorder.Run(work) })
+	tasks.Go(func() { served <- h.server.Serve(h.Listener) })
+	if h.Relay != nil {
+		mux := wire.NewMux()
+		configuration.Register(mux, watcher, h.Clock)
+		tasks.Go(func() { served <- mux.Serve(work, h.Relay) })
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		h.leave()
+		recorder.Push(work)
+	case err = <-served:
+	}
+	stop()
+	tasks.Wait()
+	return errors.Trace(err)
+}
+
+// leave lets the balancer notice, and then waits for the requests under way.
+func (h *Host) leave() {
+	h.server.Leave()
+	h.Logger.Info("leaving")
+	h.Clock.Sleep(h.Lag)
+	deadline := h.Clock.Now().Add(h.Grace)
+	for h.server.Active() > 0 && h.Clock.Now().Before(deadline) {
+		h.Clock.Sleep(drainPoll)
+	}
+	ctx, cancel := clockwork.WithTimeout(context.Background(), h.Clock, time.Second)
+	defer cancel()
+	if err := h.server.Shutdown(ctx); err != nil {
+		h.Logger.WithError(err).Warn("connections were still open at the stop")
+	}
+}
+
+// ServesModel reports whether some target can be chosen for the model.
+func (h *Host) ServesModel(model string) bool {
+	t := h.table.Load()
+	return t != nil && t.Heard(model)
+}
+
+func (h *Host) counter(name string) *expvar.Int {
+	v := new(expvar.Int)
+	h.Metrics.Set(name, v)
+	return v
+}
+
+func (h *Host) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(h.Random.Uint64(), stream))
+}
+
+func (h *Host) budget() rhubarbgate.RetryBudget {
+	if h.UnlimitedRetries {
+		return retry.Unlimited{}
+	}
+	return &retry.Budget{Ratio: retryRatio, Most: retryReserve}
+}
+
+func (h *Host) picker() rhubarbgate.Picker {
+	two := &pick.TwoChoices{Random: h.random(3)}
+	switch h.Picker {
+	case "round-robin":
+		return &pick.RoundRobin{}
+	case "two-choices":
+		return two
+	case "helper-cost":
+		return pick.HelperCost{}
+	default:
+		return &pick.Affinity{Fallback: two}
+	}
+}
--- /dev/null
+++ b/internal/role/side/report.go
@@ -0,0 +1,75 @@
+package side
+
+import (
+	"context"
+
+	"rhubarbgate.example/rhubarbgate/internal/controller/batch"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
+)
+
+// leaseTTL is how long a renewal lasts.
+const leaseTTL = batch.LeaseTTL
+
+// done queues the outcome of a task for its report.
+func (w *worker) done(t *task, o jobs.Outcome) {
+	w.mu.Lock()
+	w.outcomes = append(w.outcomes, groupOutcome{group: t.group, outcome: o})
+	full := len(w.outcomes) >= flushItems
+	w.mu.Unlock()
+	if full {
+		select {
+		case w.flush <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// reportLoop reports outcomes in batches.
+func (w *worker) reportLoop(ctx context.Context) {
+	t := w.clock.NewTicker(flushInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+		case <-w.flush:
+		}
+		w.report()
+	}
+}
+
+// report sends all queued outcomes. Those that could not be sent are queued
+// again until their lease has ended.
+func (w *worker) report() {
+	w.mu.Lock()
+	queued := w.outcomes
+	w.outcomes = nil
+	w.mu.Unlock()
+	byGroup := map[uint32][]jobs.Outcome{}
+	for _, x := range queued {
+		byGroup[x.group] = append(byGroup[x.group], x.outcome)
+	}
+	for group, outcomes := range byGroup {
+		w.reportGroup(group, outcomes)
+	}
+}
+
+func (w *worker) reportGroup(group uint32, outcomes []jobs.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	r, err := w.host.control.Jobs(ctx, group, jobs.Command{Complete: &jobs.Complete{Outcomes: outcomes}})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, o := range outcomes {
+		_, held := w.held[o.Ref]
+		if err != nil && held {
+			w.outcomes = append(w.outcomes, groupOutcome{group: group, outcome: o})
+			continue
+		}
+		delete(w.held, o.Ref)
+		if err != nil || (i < len(r.Accepted) && !r.Accepted[i]) {
+			w.host.counts.late.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/role/side/resume.go
@@ -0,0 +1,203 @@
+package side
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/http/openai"
+	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
+)
+
+// partial is what a preempted item has produced so far.
+type partial struct {
+	text        string
+	tokens      int
+	preemptions int
+}
+
+// fields is a JSON object whose unknown fields are passed through.
+type fields map[string]json.RawMessage
+
+// resumable is a completion whose output can be continued: one choice of plain
+// text. It is always streamed, so that a preemption loses nothing.
+type resumable struct {
+	path   string
+	fields fields
+	model  string
+	chat   bool
+	limit  int
+}
+
+// notResumable are fields that make an output more than one plain text.
+var notResumable = []string{"n", "best_of", "tools", "tool_choice", "functions", "logprobs", "response_format", "echo"}
+
+// newResumable returns nil for items that have to be run in one go.
+func newResumable(in *jobs.InputLine) *resumable {
+	s := &resumable{path: in.URL, chat: in.URL == openai.ChatPath}
+	if json.Unmarshal(in.Body, &s.fields) != nil {
+		return nil
+	}
+	for _, f := range notResumable {
+		if _, ok := s.fields[f]; ok {
+			return nil
+		}
+	}
+	c, err := openai.ParseCompletion(in.Body)
+	if err != nil {
+		return nil
+	}
+	if !s.chat && (len(c.Prompt) == 0 || c.Prompt[0] != '"') {
+		return nil
+	}
+	s.model, s.limit = c.Model, c.MaxTokens
+	return s
+}
+
+// body returns the request that continues behind the partial output.
+func (s *resumable) body(p *partial) []byte {
+	f := fields{}
+	for k, v := range s.fields {
+		f[k] = v
+	}
+	f["stream"] = json.RawMessage("true")
+	if s.limit > 0 {
+		f["max_tokens"] = encode(max(1, s.limit-p.tokens))
+	}
+	if p.text != "" {
+		s.continueFrom(f, p.text)
+	}
+	return encode(f)
+}
+
+func (s *resumable) continueFrom(f fields, text string) {
+	if !s.chat {
+		var prompt string
+		// newResumable checked that the prompt is a string.
+		_ = json.Unmarshal(s.fields["prompt"], &prompt)
+		f["prompt"] = encode(prompt + text)
+		return
+	}
+	var messages []json.RawMessage
+	_ = json.Unmarshal(s.fields["messages"], &messages)
+	messages = append(messages, encode(openai.ChoiceText{Role: "assistant", Content: text}))
+	f["messages"] = encode(messages)
+	f["continue_final_message"] = json.RawMessage("true")
+	f["add_generation_prompt"] = json.RawMessage("false")
+}
+
+func encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		// Only strings, numbers and valid raw JSON are encoded here.
+		panic(err)
+	}
+	return b
+}
+
+// runResumable streams a completion into the task's partial output.
+func (w *worker) runResumable(ctx context.Context, t *task, s *resumable) (*itemAnswer, *rhubarbgate.Error) {
+	q := &target.Request{Method: http.MethodPost, Path: s.path, Body: s.body(&t.partial), Idempotent: true, Headers: jsonHeaders()}
+	a, err := w.host.engine.Do(ctx, q)
+	if err != nil {
+		return nil, rhubarbgate.AsError(err)
+	}
+	defer a.Close()
+	if a.Status != http.StatusOK {
+		var b bytes.Buffer
+		if _, err := b.ReadFrom(a); err != nil {
+			return nil, broken(ctx, err)
+		}
+		return checkStatus(a.Status, b.Bytes())
+	}
+	c := &collector{partial: &t.partial}
+	if err := c.read(a); err != nil {
+		return nil, broken(ctx, err)
+	}
+	if !c.ended {
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the stream ended without its last event")
+	}
+	return &itemAnswer{status: http.StatusOK, body: c.response(s)}, nil
+}
+
+// collector gathers the events of one stream.
+type collector struct {
+	partial *partial
+	last    openai.Response
+	finish  *string
+	usage   *openai.Usage
+	ended   bool
+}
+
+var (
+	eventPrefix = []byte("data: ")
+	eventEnd    = []byte("[DONE]")
+)
+
+func (c *collector) read(a *target.Answer) error {
+	in := bufio.NewScanner(a)
+	in.Buffer(make([]byte, 0, frameBytes), maxItemAnswer)
+	for in.Scan() {
+		data, ok := bytes.CutPrefix(in.Bytes(), eventPrefix)
+		if !ok {
+			continue
+		}
+		if bytes.Equal(data, eventEnd) {
+			c.ended = true
+			continue
+		}
+		c.event(data)
+	}
+	return in.Err()
+}
+
+func (c *collector) event(data []byte) {
+	var r openai.Response
+	if json.Unmarshal(data, &r) != nil {
+		return
+	}
+	c.last = r
+	if r.Usage != nil {
+		c.usage = r.Usage
+	}
+	for _, x := range r.Choices {
+		if x.FinishReason != nil {
+			c.finish = x.FinishReason
+		}
+		text := x.Text
+		if x.Delta != nil {
+			text = x.Delta.Content
+		}
+		if text != "" {
+			c.partial.text += text
+			c.partial.tokens++
+		}
+	}
+}
+
+// response builds the answer that the item would have got without streaming.
+func (c *collector) response(s *resumable) []byte {
+	r := c.last
+	x := openai.Choice{FinishReason: c.finish}
+	if s.chat {
+		r.Object = "chat.completion"
+		x.Message = &openai.ChoiceText{Role: "assistant", Content: c.partial.text}
+	} else {
+		r.Object = "text_completion"
+		x.Text = c.partial.text
+	}
+	r.Choices = []openai.Choice{x}
+	r.Usage = c.usage
+	if r.Usage != nil {
+		// A resumed stream counts only its own part.
+		u := *r.Usage
+		u.CompletionTokens = c.partial.tokens
+		u.TotalTokens = u.PromptTokens + u.CompletionTokens
+		r.Usage = &u
+	}
+	return encode(&r)
+}
--- /dev/null
+++ b/internal/rpc/control/message.go
@@ -0,0 +1,198 @@
+// Package control is the protocol of the control hosts: its messages and a client that finds each group's leader.
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/state/burn"
+	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
+	"rhubarbgate.example/rhubarbgate/internal/state/shard"
+)
+
+// Names of the methods.
+const (
+	MethodHello   = "/control/Hello"
+	MethodPoll    = "/config/Poll"
+	MethodSettle  = "/control/Settle"
+	MethodPropose = "/control/Propose"
+	MethodLease   = "/control/Lease"
+	MethodRenew   = "/control/Renew"
+	MethodQuery   = "/control/Query"
+	MethodCommit  = "/control/Commit"
+	MethodMember  = "/control/Member"
+	MethodStatus  = "/control/Status"
+)
+
+// FleetGroup is the group that holds the configuration.
+const FleetGroup uint32 = 0
+
+// GroupOf returns the job group of a workspace; groups are numbered from 1.
+func GroupOf(workspace string, groups int) uint32 {
+	return uint32(xxhash.Sum64String(workspace)%uint64(groups)) + 1
+}
+
+// Hello asks a control host who it is.
+type Hello struct{}
+
+// HelloReply identifies a control host.
+type HelloReply struct {
+	ID          uint64
+	Incarnation uint64
+	Address     netip.AddrPort
+	// Initialised says that the host has state.
+	Initialised bool
+	// Members is the first membership, as long as it was never changed.
+	Members raft.Members
+	Groups  int
+}
+
+// Poll asks for configuration newer than Version, waiting up to Wait for it.
+type Poll struct {
+	Version uint64
+	Wait    time.Duration
+}
+
+// PollReply carries the bundles behind the polled version or, if they are no
+// longer kept, the whole configuration.
+type PollReply struct {
+	Version uint64
+	Digest  []byte
+	// Sum is the checksum of the configuration at Version.
+	Sum     uint64
+	Bundles []rhubarbgate.Bundle
+	Section *rhubarbgate.Section
+	// Age is how long ago Version was confirmed as the newest.
+	Age time.Duration
+	// Groups is the number of job groups.
+	Groups int
+}
+
+// Routing is part of every reply of a group's leader.
+type Routing struct {
+	// NotLeader says that the call had no effect here.
+	NotLeader bool
+	// Leader is the leader's address, if known.
+	Leader netip.AddrPort
+}
+
+// Moved implements routed.
+func (r *Routing) Moved() (bool, netip.AddrPort) { return r.NotLeader, r.Leader }
+
+// Settle reports spent tokens and asks for more.
+type Settle struct {
+	Group  uint32
+	Holder string
+	Asks   []limit.Ask
+}
+
+// SettleReply answers each ask.
+type SettleReply struct {
+	Routing
+	Grants []limit.Grant
+}
+
+// Propose commits a command in a job group.
+type Propose struct {
+	Group   uint32
+	Command shard.Command
+}
+
+// ProposeReply is the command's result.
+type ProposeReply struct {
+	Routing
+	Result *shard.Result
+}
+
+// Lease asks for batch items that a side can run.
+type Lease struct {
+	Group uint32
+	Side  string
+	Needs []string
+	Count int
+}
+
+// LeaseReply lists the granted items. Leases last TTL from the request's sending.
+type LeaseReply struct {
+	Routing
+	Granted []jobs.Grant
+	TTL     time.Duration
+}
+
+// Renew prolongs leases.
+type Renew struct {
+	Group uint32
+	Side  string
+	Items []jobs.ItemRef
+}
+
+// RenewReply tells which leases are still valid.
+type RenewReply struct {
+	Routing
+	Live []bool
+}
+
+// Query reads the state of a job group; one of the pointers is set.
+type Query struct {
+	Group     uint32
+	Workspace string
+	Job       *string
+	File      *string
+	List      *int
+	Input     *PageQuery
+	Output    *PageQuery
+	Burn      bool
+}
+
+// PageQuery asks for lines of a file or of a job's output.
+type PageQuery struct {
+	ID       string
+	Index    int
+	MaxBytes int
+}
+
+// QueryReply answers a Query.
+type QueryReply struct {
+	Routing
+	Job  *jobs.Job
+	File *jobs.File
+	List []jobs.Job
+	Page *jobs.Page
+	Burn []burn.Count
+}
+
+// Commit commits a signed bundle.
+type Commit struct{ Bundle rhubarbgate.Bundle }
+
+// CommitReply is the outcome of a commit.
+type CommitReply struct {
+	Routing
+	Result *fleet.Committed
+}
+
+// Member changes the membership of all groups by one control host.
+type Member struct {
+	Group uint32
+	// Add is a host to add as a learner; it becomes a voter once it has caught up.
+	Add *raft.Member
+	// Remove is the ID of a host to take out; 0 means none.
+	Remove uint64
+}
+
+// MemberReply is the outcome of a membership change.
+type MemberReply struct{ Routing }
+
+// StatusReply describes a control host.
+type StatusReply struct {
+	ID      uint64
+	Address netip.AddrPort
+	Groups  []raft.Status
+	Version uint64
+	Age     time.Duration
+}
--- /dev/null
+++ b/internal/rpc/wire/client.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"rhubarbgate.example/rhubarbgate"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	idleConnLifetime = 2 * time.Minute
+	idleConnsPerPeer = 64
+)
+
+// dialError marks a failure before any byte of a request was sent.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
+
+func (e *dialError) Unwrap() error { return e.cause }
+
+// Client calls other processes over pooled connections.
+type Client struct {
+	// TLS authenticates both ends; nil means plain TCP.
+	TLS *tls.Config
+
+	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+}
+
+// NewClient returns a Client. A nil c means plain TCP.
+func NewClient(c *tls.Config) *Client {
+	return &Client{TLS: c, pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleConnLifetime,
+		KeyCapacity: idleConnsPerPeer,
+	})}
+}
+
+// Close drops all idle connections.
+func (c *Client) Close() error { return errors.Trace(c.pool.Close()) }
+
+func (c *Client) conn(ctx context.Context, a netip.AddrPort) drpcpool.Conn {
+	return c.pool.Get(ctx, a, c.dial)
+}
+
+func (c *Client) dial(ctx context.Context, a netip.AddrPort) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	n, err := d.DialContext(ctx, "tcp", a.String())
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	if c.TLS != nil {
+		t := tls.Client(n, c.TLS)
+		if err := t.HandshakeContext(ctx); err != nil {
+			n.Close()
+			return nil, &dialError{err}
+		}
+		n = t
+	}
+	return drpcconn.NewWithOptions(n, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Call sends one request and waits for its reply. A failure of the transport is
+// an *rhubarbgate.Error with CodeUnavailable; its verdict is NotRun only if no
+// connection came about.
+func Call[Out, In any](ctx context.Context, c *Client, a netip.AddrPort, name string, in *In) (*Out, error) {
+	e := new(envelope[Out])
+	if err := c.conn(ctx, a).Invoke(ctx, name, encoding{}, in, e); err != nil {
+		return nil, transportError(err, a, name)
+	}
+	if e.Err != nil {
+		return nil, e.Err
+	}
+	if e.Value == nil {
+		e.Value = new(Out)
+	}
+	return e.Value, nil
+}
+
+// Receiver reads the replies of a streamed method.
+type Receiver[Out any] struct {
+	stream drpc.Stream
+	addr   netip.AddrPort
+	name   string
+}
+
+// Open sends one request and returns the stream of its replies. Cancel ctx or
+// call Close to end the stream early.
+func Open[Out, In any](ctx context.Context, c *Client, a netip.AddrPort, name string, in *In) (*Receiver[Out], error) {
+	s, err := c.conn(ctx, a).NewStream(ctx, name, encoding{})
+	if err != nil {
+		return nil, transportError(err, a, name)
+	}
+	if err := s.MsgSend(in, encoding{}); err != nil {
+		s.Close()
+		return nil, transportError(err, a, name)
+	}
+	return &Receiver[Out]{stream: s, addr: a, name: name}, nil
+}
+
+// Next returns the next reply, or io.EOF behind the last one.
+func (r *Receiver[Out]) Next() (*Out, error) {
+	out := new(Out)
+	if err := r.stream.MsgRecv(out, encoding{}); err != nil {
+		return nil, errors.Annotatef(err, "%s at %v", r.name, r.addr)
+	}
+	return out, nil
+}
+
+// Close ends the stream.
+func (r *Receiver[Out]) Close() error { return r.stream.Close() }
+
+// Sender writes a stream of messages without replies.
+type Sender[In any] struct{ stream drpc.Stream }
+
+// OpenFeed starts a stream of messages to a method registered with Feed.
+func OpenFeed[In any](ctx context.Context, c *Client, a netip.AddrPort, name string) (*Sender[In], error) {
+	s, err := c.conn(ctx, a).NewStream(ctx, name, encoding{})
+	if err != nil {
+		return nil, transportError(err, a, name)
+	}
+	return &Sender[In]{stream: s}, nil
+}
+
+// Send writes one message.
+func (s *Sender[In]) Send(m *In) error { return errors.Trace(s.stream.MsgSend(m, encoding{})) }
+
+// Close ends the stream.
+func (s *Sender[In]) Close() error { return s.stream.Close() }
+
+func transportError(err error, a netip.AddrPort, name string) *rhubarbgate.Error {
+	v := rhubarbgate.MayHaveRun
+	var d *dialError
+	if errors.As(err, &d) {
+		v = rhubarbgate.NotRun
+	}
+	return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, v, "%s at %v: %v", name, a, err)
+}
--- /dev/null
+++ b/internal/rpc/wire/mux.go
@@ -0,0 +1,116 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"slices"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"rhubarbgate.example/rhubarbgate"
+)
+
+// envelope wraps every unary reply, so that typed errors reach the client.
+type envelope[T any] struct {
+	Err   *rhubarbgate.Error
+	Value *T
+}
+
+// method is a registered RPC.
+type method struct {
+	roles  []Role
+	handle func(s drpc.Stream) error
+}
+
+// Mux dispatches RPCs by name. Register all methods before Serve.
+type Mux struct {
+	methods map[string]method
+}
+
+// NewMux returns an empty Mux.
+func NewMux() *Mux {
+	return &Mux{methods: map[string]method{}}
+}
+
+// Unary registers a method with one request and one reply. Only peers with one
+// of the roles may call it; on connections without TLS roles are not checked.
+func Unary[In, Out any](m *Mux, name string, roles []Role, f func(context.Context, *In) (*Out, error)) {
+	m.methods[name] = method{roles: roles, handle: func(s drpc.Stream) error {
+		in := new(In)
+		if err := s.MsgRecv(in, encoding{}); err != nil {
+			return err
+		}
+		out, err := f(s.Context(), in)
+		return s.MsgSend(&envelope[Out]{Err: rhubarbgate.AsError(err), Value: out}, encoding{})
+	}}
+}
+
+// Streamed registers a method with one request and a stream of replies.
+func Streamed[In, Out any](m *Mux, name string, roles []Role, f func(context.Context, *In, func(*Out) error) error) {
+	m.methods[name] = method{roles: roles, handle: func(s drpc.Stream) error {
+		in := new(In)
+		if err := s.MsgRecv(in, encoding{}); err != nil {
+			return err
+		}
+		return f(s.Context(), in, func(o *Out) error { return s.MsgSend(o, encoding{}) })
+	}}
+}
+
+// Feed registers a method that consumes a stream of messages without replies.
+func Feed[In any](m *Mux, name string, roles []Role, f func(context.Context, *In)) {
+	m.methods[name] = method{roles: roles, handle: func(s drpc.Stream) error {
+		for {
+			in := new(In)
+			if err := s.MsgRecv(in, encoding{}); err != nil {
+				return err
+			}
+			f(s.Context(), in)
+		}
+	}}
+}
+
+// HandleRPC implements drpc.Handler.
+func (m *Mux) HandleRPC(s drpc.Stream, name string) error {
+	h, ok := m.methods[name]
+	if !ok {
+		return errors.NotFoundf("method %q", name)
+	}
+	if p := PeerFrom(s.Context()); p.TLS && !slices.Contains(h.roles, p.Role) {
+		return errors.Forbiddenf("method %q to role %v", name, p.Role)
+	}
+	return h.handle(s)
+}
+
+// Serve answers RPCs on l until ctx ends, and then waits for the handlers.
+func (m *Mux) Serve(ctx context.Context, l net.Listener) error {
+	s := drpcserver.NewWithOptions(m, drpcserver.Options{Manager: managerOptions()})
+	var g conc.WaitGroup
+	defer g.Wait()
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Trace(err)
+		}
+		g.Go(func() {
+			// The error ends only this connection; its peer sees the same.
+			_ = s.ServeOne(drpcctx.WithTransport(ctx, c), c)
+		})
+	}
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+	}
+}
--- /dev/null
+++ b/internal/state/config/digest.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"rhubarbgate.example/rhubarbgate"
+)
+
+// Digest returns the SHA-256 of the bundle without its signatures.
+func Digest(b *rhubarbgate.Bundle) []byte {
+	u := *b
+	u.Signatures = nil
+	j, err := json.Marshal(&u)
+	if err != nil {
+		// The types hold only strings, numbers and addresses.
+		panic(err)
+	}
+	d := sha256.Sum256(j)
+	return d[:]
+}
+
+// KeyDigest returns the stored form of a caller's secret.
+func KeyDigest(secret string) string {
+	d := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(d[:])
+}
+
+// Operators are the public keys that may sign bundles.
+type Operators struct {
+	Keys map[string]ed25519.PublicKey
+	// Threshold is how many different operators have to sign.
+	Threshold int
+}
+
+// Verify checks that enough operators signed the bundle.
+func (o Operators) Verify(b *rhubarbgate.Bundle) error {
+	d := Digest(b)
+	good := map[string]bool{}
+	for _, s := range b.Signatures {
+		k, ok := o.Keys[s.Operator]
+		if !ok {
+			return rhubarbgate.Errorf(rhubarbgate.CodeForbidden, rhubarbgate.NotRun, "bundle %d: unknown operator %q", b.Version, s.Operator)
+		}
+		if !ed25519.Verify(k, d, s.Value) {
+			return rhubarbgate.Errorf(rhubarbgate.CodeForbidden, rhubarbgate.NotRun, "bundle %d: the signature of operator %q does not fit the content", b.Version, s.Operator)
+		}
+		good[s.Operator] = true
+	}
+	if len(good) < o.Threshold {
+		return rhubarbgate.Errorf(rhubarbgate.CodeForbidden, rhubarbgate.NotRun, "bundle %d: signed by %d operators, %d are needed", b.Version, len(good), o.Threshold)
+	}
+	return nil
+}
+
+// Sign adds the operator's signature to the bundle, replacing an earlier one.
+func Sign(b *rhubarbgate.Bundle, operator string, k ed25519.PrivateKey) {
+	s := rhubarbgate.Signature{Operator: operator, Value: ed25519.Sign(k, Digest(b))}
+	for i, x := range b.Signatures {
+		if x.Operator == operator {
+			b.Signatures[i] = s
+			return
+		}
+	}
+	b.Signatures = append(b.Signatures, s)
+}
--- /dev/null
+++ b/internal/storage/disk/frame.go
@@ -0,0 +1,122 @@
+// Package disk keeps the durable files of a control host: logs, snapshots and identity.
+package disk
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+)
+
+// A frame is a header of three little-endian 32-bit words (payload length,
+// CRC-32C of the payload, CRC-32C of the first two words) and the payload. The
+// header has its own checksum, so a damaged length is not taken for a torn tail.
+const (
+	headerBytes   = 12
+	maxFrameBytes = 1 << 30
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendFrame appends a frame that holds payload to b.
+func appendFrame(b, payload []byte) []byte {
+	var h [headerBytes]byte
+	binary.LittleEndian.PutUint32(h[0:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(h[4:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(h[8:], crc32.Checksum(h[:8], castagnoli))
+	b = append(b, h[:]...)
+	return append(b, payload...)
+}
+
+// parseFrame returns the payload of the frame at the start of b and the size of
+// the whole frame; ok is false if b does not start with a valid frame.
+func parseFrame(b []byte) (payload []byte, size int, ok bool) {
+	if len(b) < headerBytes {
+		return nil, 0, false
+	}
+	if crc32.Checksum(b[:8], castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return nil, 0, false
+	}
+	n := int(binary.LittleEndian.Uint32(b))
+	if n > maxFrameBytes || headerBytes+n > len(b) {
+		return nil, 0, false
+	}
+	payload = b[headerBytes : headerBytes+n]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[4:]) {
+		return nil, 0, false
+	}
+	return payload, headerBytes + n, true
+}
+
+// scanFrames calls f for each frame of b and returns the size of the valid
+// part. A bad frame with a valid one behind it is corruption; without one it is
+// the torn tail of a write that was never acknowledged.
+func scanFrames(b []byte, f func(payload []byte) error) (int, error) {
+	at := 0
+	for at < len(b) {
+		payload, size, ok := parseFrame(b[at:])
+		if !ok {
+			if validFrameBehind(b[at:]) {
+				return at, errors.Annotatef(raft.ErrCorrupt, "record at byte %d", at)
+			}
+			return at, nil
+		}
+		if err := f(payload); err != nil {
+			return at, errors.Annotatef(err, "record at byte %d", at)
+		}
+		at += size
+	}
+	return at, nil
+}
+
+func validFrameBehind(b []byte) bool {
+	for i := 1; i+headerBytes <= len(b); i++ {
+		// A header of zeros carries a valid checksum of nothing: skip such runs.
+		if bytes.Equal(b[i:i+headerBytes], make([]byte, headerBytes)) {
+			continue
+		}
+		if _, _, ok := parseFrame(b[i:]); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// syncDir makes the creation, renaming and removal of files in dir durable.
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer d.Close()
+	return errors.Trace(d.Sync())
+}
+
+// writeFile replaces the file at path atomically and durably.
+func writeFile(path string, data []byte) error {
+	tmp := path + ".tmp"
+	f, err := os.Create(tmp)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := f.Write(data); err != nil {
+		f.Close()
+		return errors.Trace(err)
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return errors.Trace(err)
+	}
+	if err := f.Close(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.Rename(tmp, path); err != nil {
+		return errors.Trace(err)
+	}
+	return syncDir(filepath.Dir(path))
+}
--- /dev/null
+++ b/internal/storage/disk/identity.go
@@ -0,0 +1,59 @@
+package disk
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+)
+
+const identityFile = "identity"
+
+// Identity names a data folder. A new folder gets a new incarnation.
+type Identity struct {
+	ID          uint64
+	Incarnation uint64
+}
+
+// LoadIdentity reads the identity of the data folder, or creates it. The folder
+// of another replica is refused.
+func LoadIdentity(dir string, id uint64, random *rand.Rand) (Identity, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return Identity{}, errors.Trace(err)
+	}
+	path := filepath.Join(dir, identityFile)
+	b, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return createIdentity(path, Identity{ID: id, Incarnation: random.Uint64()})
+	}
+	if err != nil {
+		return Identity{}, errors.Trace(err)
+	}
+	payload, _, ok := parseFrame(b)
+	if !ok {
+		return Identity{}, errors.Annotate(raft.ErrCorrupt, path)
+	}
+	var x Identity
+	if err := wire.Unmarshal(payload, &x); err != nil {
+		return Identity{}, errors.Annotate(raft.ErrCorrupt, path)
+	}
+	if x.ID != id {
+		return Identity{}, errors.NotValidf("data folder of replica %d for replica %d", x.ID, id)
+	}
+	return x, nil
+}
+
+func createIdentity(path string, x Identity) (Identity, error) {
+	payload, err := wire.Marshal(&x)
+	if err != nil {
+		return Identity{}, errors.Trace(err)
+	}
+	return x, errors.Trace(writeFile(path, appendFrame(nil, payload)))
+}
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s.%020d", snapshotFile, index) }
--- /dev/null
+++ b/internal/storage/disk/log.go
@@ -0,0 +1,138 @@
+package disk
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+)
+
+const logFile = "log"
+
+// Log implements raft.Log in one file of checksummed records.
+type Log struct {
+	// Dir is the folder of the replica; it must exist.
+	Dir string
+
+	file *os.File
+	size int64
+}
+
+var _ raft.Log = (*Log)(nil)
+
+// record is one synced batch of the log. Base is set in the first record only.
+type record struct {
+	HardState raft.HardState
+	Base      *raft.SnapshotMeta
+	Entries   []raft.Entry
+}
+
+func (l *Log) path() string { return filepath.Join(l.Dir, logFile) }
+
+// Load implements raft.Log. It cuts a torn tail.
+func (l *Log) Load() (raft.Stored, bool, error) {
+	b, err := os.ReadFile(l.path())
+	if os.IsNotExist(err) {
+		return raft.Stored{}, false, l.create(raft.Stored{})
+	}
+	if err != nil {
+		return raft.Stored{}, false, errors.Trace(err)
+	}
+	var s raft.Stored
+	size, err := scanFrames(b, func(payload []byte) error { return replay(&s, payload) })
+	if err != nil {
+		return raft.Stored{}, false, errors.Annotate(err, l.path())
+	}
+	if l.file, err = os.OpenFile(l.path(), os.O_RDWR, 0); err != nil {
+		return raft.Stored{}, false, errors.Trace(err)
+	}
+	if err := l.cut(int64(size), int64(len(b))); err != nil {
+		return raft.Stored{}, false, errors.Trace(err)
+	}
+	ok := len(s.Base.Members) > 0 || s.Base.Index > 0 || len(s.Entries) > 0
+	return s, ok, nil
+}
+
+// cut removes a torn tail.
+func (l *Log) cut(valid, size int64) error {
+	l.size = valid
+	if valid == size {
+		return nil
+	}
+	if err := l.file.Truncate(valid); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(l.file.Sync())
+}
+
+func replay(s *raft.Stored, payload []byte) error {
+	var r record
+	if err := wire.Unmarshal(payload, &r); err != nil {
+		return errors.Annotatef(raft.ErrCorrupt, "%v", err)
+	}
+	s.HardState = r.HardState
+	if r.Base != nil {
+		s.Base = *r.Base
+		s.Entries = nil
+	}
+	for _, e := range r.Entries {
+		last := s.Base.Index + uint64(len(s.Entries))
+		if e.Index <= s.Base.Index || e.Index > last+1 {
+			return errors.Annotatef(raft.ErrCorrupt, "entry %d behind entry %d", e.Index, last)
+		}
+		s.Entries = append(s.Entries[:e.Index-s.Base.Index-1], e)
+	}
+	return nil
+}
+
+// Append implements raft.Log.
+func (l *Log) Append(h raft.HardState, entries []raft.Entry) error {
+	payload, err := wire.Marshal(&record{HardState: h, Entries: entries})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	b := appendFrame(nil, payload)
+	if _, err := l.file.WriteAt(b, l.size); err != nil {
+		return errors.Trace(err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return errors.Trace(err)
+	}
+	l.size += int64(len(b))
+	return nil
+}
+
+// Reset implements raft.Log.
+func (l *Log) Reset(s raft.Stored) error {
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return l.create(s)
+}
+
+func (l *Log) create(s raft.Stored) error {
+	payload, err := wire.Marshal(&record{HardState: s.HardState, Base: &s.Base, Entries: s.Entries})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	b := appendFrame(nil, payload)
+	if err := writeFile(l.path(), b); err != nil {
+		return errors.Trace(err)
+	}
+	l.size = int64(len(b))
+	l.file, err = os.OpenFile(l.path(), os.O_RDWR, 0)
+	return errors.Trace(err)
+}
+
+// Close releases the file.
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	return errors.Trace(l.file.Close())
+}
