Keep rates exact through late reports and quick changes of owner

Cause: the randomised test of the limits found three faults. A bucket was refilled for time in which its tokens were still outstanding, because reports and expiries were taken before the refill (0.54 tokens too many at rate 5, burst 1). A second change of owner within the life of a grant let the grants of two earlier owners be out at once. Tokens that came back after a burst had shrunk overfilled the bucket (caught by the invariant in the program).

Change: refill first, expiries in order, clamp after reports. A new owner whose predecessor began less than a grant's life before grants nothing until all earlier grants have run out; the log tells it when the predecessor began.

The bound holds exactly; two failovers within 3 s cost up to 3 s of refusals.

--- a/internal/consensus/raft/core.go
+++ b/internal/consensus/raft/core.go
@@ -69,9 +69,12 @@
 	peers      map[uint64]*progress
 	confirmed  time.Time // send time of the newest round that a quorum answered
 	noopIndex  uint64    // first entry of the leader's own term
-	electedAt  time.Time
-	transferee uint64
-	transferAt time.Time
+	lastTermAt time.Time // when the first entry of the log's last term came in
+	// predecessorAt is lastTermAt as of the replica's election.
+	predecessorAt time.Time
+	electedAt     time.Time
+	transferee    uint64
+	transferAt    time.Time
 
 	fresh     freshness
 	installed *SnapshotMeta
@@ -112,6 +115,7 @@
 	// A restarted replica may have forgotten a promise to a leader, so it
 	// behaves as if it had just heard from one.
 	c.contact = c.clock.Now()
+	c.lastTermAt = c.clock.Now()
 	c.becomeFollower(c.term, 0)
 }
 
@@ -122,6 +126,14 @@
 	c.members, c.membersIndex = c.entries.membership()
 }
 
+// noteTerm notes when entries of a new term begin to come in. Their leader was
+// elected before, so no earlier leader's lease is valid any more.
+func (c *core) noteTerm(term uint64) {
+	if term != c.entries.lastTerm() {
+		c.lastTermAt = c.clock.Now()
+	}
+}
+
 // noteMembers puts memberships in newly appended entries in force.
 func (c *core) noteMembers(entries []Entry) {
 	for _, e := range entries {
@@ -268,6 +280,7 @@
 	for _, p := range c.peers {
 		p.acked = now.Add(-c.electionTimeout)
 	}
+	c.predecessorAt = c.lastTermAt
 	c.noopIndex = c.append(EntryNoop, nil)
 	c.tickLeader(now)
 }
@@ -289,6 +302,7 @@
 // append adds an entry to the leader's log and returns its index.
 func (c *core) append(k EntryKind, data []byte) uint64 {
 	e := Entry{Term: c.term, Index: c.entries.last() + 1, Kind: k, Data: data}
+	c.noteTerm(e.Term)
 	c.entries.append(e)
 	c.noteMembers([]Entry{e})
 	return e.Index
--- a/internal/consensus/raft/group.go
+++ b/internal/consensus/raft/group.go
@@ -103,6 +103,8 @@
 	Snapshot uint64
 	// FreshAt is a time at which the applied state was confirmed by a quorum.
 	FreshAt time.Time
+	// PredecessorAt is a time by which the leader before this one was elected.
+	PredecessorAt time.Time
 	// LeaseUntil bounds the leader's lease; zero on other replicas.
 	LeaseUntil time.Time
 }
--- a/internal/consensus/raft/raft_test.go
+++ b/internal/consensus/raft/raft_test.go
@@ -45,7 +45,6 @@
 	c       *cluster
 	history []porcupine.Operation
 	next    uint64
-	acked   map[uint64]uint64 // value by count result: every acknowledged write
 }
 
 func (k *client) write(n *node, key byte) {
--- a/internal/consensus/raft/step.go
+++ b/internal/consensus/raft/step.go
@@ -150,6 +150,7 @@
 			c.synced = min(c.synced, e.Index-1)
 			c.refreshMembers()
 		}
+		c.noteTerm(entries[len(entries)-1].Term)
 		c.entries.append(entries[i:]...)
 		c.noteMembers(entries[i:])
 		break
@@ -216,6 +217,7 @@
 
 // install replaces the log by a complete snapshot.
 func (c *core) install(s SnapshotMeta) {
+	c.noteTerm(s.Term)
 	c.entries = newEntryLog(s, nil)
 	c.commit = s.Index
 	c.synced = s.Index
--- a/internal/policy/limit/owner.go
+++ b/internal/policy/limit/owner.go
@@ -28,7 +28,9 @@
 //
 // A new owner does not know the grants of its predecessor. No owner lets more
 // than half the burst be outstanding, so the new one starts empty and uses the
-// other half until those grants have run out.
+// other half until those grants have run out. If the predecessor itself began so
+// lately that grants of the owner before it may be out too, the new owner grants
+// nothing until all of them have run out.
 type Owner struct {
 	Clock clockwork.Clock
 	// Rates returns the limit of a workspace.
@@ -40,6 +42,7 @@
 
 	mu      sync.Mutex
 	begun   time.Time
+	strict  bool // grants of two earlier owners may be out
 	nextID  uint64
 	buckets map[string]*bucket
 }
@@ -60,10 +63,12 @@
 }
 
 // Begin starts a term of ownership. Call it when the old owner's lease is over.
-func (o *Owner) Begin() {
+// predecessor is a time by which that owner had begun.
+func (o *Owner) Begin(predecessor time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.begun = o.Clock.Now()
+	o.strict = o.begun.Sub(predecessor) < o.life()
 	// Identifiers of different owners must not meet in a holder's reports.
 	o.nextID = uint64(o.begun.UnixNano())
 	o.buckets = map[string]*bucket{}
@@ -81,6 +86,9 @@
 // capacity is the most that the bucket and its grants may hold at t.
 func (o *Owner) capacity(b *bucket, t time.Time) float64 {
 	if t.Before(o.begun.Add(o.life())) {
+		if o.strict {
+			return 0
+		}
 		return math.Max(0, b.rate.Burst-Outstanding(b.rate.Burst))
 	}
 	return b.rate.Burst
@@ -109,10 +117,13 @@
 		return g
 	}
 	g.PerSecond = b.rate.PerSecond
+	// Refill first: room that the reports make counts only from now on.
+	o.accrue(b, now)
 	for _, r := range a.Reports {
 		b.report(r)
 	}
-	o.accrue(b, now)
+	// Tokens that came back may find a burst that has shrunk meanwhile.
+	o.clamp(b, now)
 	if a.Want <= 0 {
 		return g
 	}
@@ -154,21 +165,50 @@
 	return b
 }
 
-// accrue lets grants expire and refills the bucket up to its capacity.
+// accrue refills the bucket up to now. Tokens that are outstanding hold the
+// refill back until the moment they expire, so expiries are taken in order.
 func (o *Owner) accrue(b *bucket, now time.Time) {
-	for id, g := range b.grants {
-		if !now.Before(g.expires) {
-			// What was not reported counts as spent.
-			b.outstanding -= g.tokens - g.spent
-			delete(b.grants, id)
+	for {
+		id, g := b.earliest()
+		if g == nil || now.Before(g.expires) {
+			break
 		}
+		o.refill(b, g.expires)
+		// What was not reported counts as spent.
+		b.outstanding -= g.tokens - g.spent
+		delete(b.grants, id)
 	}
 	if len(b.grants) == 0 {
 		b.outstanding = 0
 	}
-	b.level += b.rate.PerSecond * now.Sub(b.at).Seconds()
-	b.at = now
-	b.level = math.Max(0, math.Min(b.level, o.capacity(b, now)-b.outstanding))
+	o.refill(b, now)
+}
+
+// earliest returns the grant that expires first.
+func (b *bucket) earliest() (uint64, *grant) {
+	var id uint64
+	var first *grant
+	for i, g := range b.grants {
+		if first == nil || g.expires.Before(first.expires) {
+			id, first = i, g
+		}
+	}
+	return id, first
+}
+
+// refill adds what accrues until t, as far as there is room.
+func (o *Owner) refill(b *bucket, t time.Time) {
+	if !t.After(b.at) {
+		return
+	}
+	b.level += b.rate.PerSecond * t.Sub(b.at).Seconds()
+	b.at = t
+	o.clamp(b, t)
+}
+
+// clamp cuts the level to the room that outstanding tokens leave.
+func (o *Owner) clamp(b *bucket, t time.Time) {
+	b.level = math.Max(0, math.Min(b.level, o.capacity(b, t)-b.outstanding))
 }
 
 // report accounts for what a holder spent.
--- a/internal/role/control/host.go
+++ b/internal/role/control/host.go
@@ -254,7 +254,7 @@
 		if s.Applied < s.Commit {
 			return
 		}
-		l.owner.Begin()
+		l.owner.Begin(s.PredecessorAt)
 		l.dispatcher.Begin()
 		l.term.Store(s.Term)
 		return
