--- a/internal/command/rhubarbgate/operator.go
+++ b/internal/command/rhubarbgate/operator.go
@@ -17,15 +17,16 @@
 )
 
 // operatorFlags say how to reach the operators' interface.
-type operatorFlags struct{ base, credential string }
+type operatorFlags struct{ base, credential, authority string }
 
 func (o *operatorFlags) add(c *cobra.Command) {
 	c.PersistentFlags().StringVar(&o.base, "operator", "http://127.0.0.1:8081", "operators' address of a control host")
+	c.PersistentFlags().StringVar(&o.authority, "authority", "", "file of the fleet authority's certificate, for an https address")
 	c.PersistentFlags().StringVar(&o.credential, "credential", "", "operator credential; better set by the environment")
 }
 
 func (o *operatorFlags) client() *operator.Client {
-	return &operator.Client{Base: o.base, Credential: o.credential}
+	return &operator.Client{Base: o.base, Credential: o.credential, Authority: o.authority}
 }
 
 func newBundle() *cobra.Command {
--- a/internal/command/rhubarbgate/roles.go
+++ b/internal/command/rhubarbgate/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"expvar"
 	"math/rand/v2"
 	"net/netip"
@@ -73,25 +74,28 @@
 		}
 		operatorAddress := k.address("operator", operatorOn)
 		k.that(h.Members[id] == h.Listen || join, "members", "does not list this host's ID with its --listen address")
-		h.TLS = files.config(&k, h.Listen, operatorAddress)
+		var operatorTLS *tls.Config
+		if keeper := files.keeper(&k, h.Listen, operatorAddress); keeper != nil {
+			h.TLS, operatorTLS = keeper.Config(), keeper.OperatorConfig()
+		}
 		if err := k.err(); err != nil {
 			return err
 		}
 		if err := serveDebug(debug); err != nil {
 			return err
 		}
-		return runControl(c.Context(), h, operatorAddress, credential)
+		return runControl(c.Context(), h, operatorAddress, operatorTLS, credential)
 	}
 	return c
 }
 
 // runControl runs a control host with its operators' listener.
-func runControl(ctx context.Context, h *rolecontrol.Host, operatorOn netip.AddrPort, credential string) error {
+func runControl(ctx context.Context, h *rolecontrol.Host, operatorOn netip.AddrPort, operatorTLS *tls.Config, credential string) error {
 	var err error
 	if h.Listener, err = listen(h.Listen, h.TLS); err != nil {
 		return errors.Trace(err)
 	}
-	ol, err := listen(operatorOn, h.TLS)
+	ol, err := listen(operatorOn, operatorTLS)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/command/rhubarbgate/settings.go
+++ b/internal/command/rhubarbgate/settings.go
@@ -124,6 +124,15 @@
 
 // config returns nil if no files are set; that is allowed on loopback only.
 func (t *tlsFlags) config(c *checks, listen ...netip.AddrPort) *tls.Config {
+	k := t.keeper(c, listen...)
+	if k == nil {
+		return nil
+	}
+	return k.Config()
+}
+
+// keeper returns the keeper of the files, or nil if none are set.
+func (t *tlsFlags) keeper(c *checks, listen ...netip.AddrPort) *reload.Keeper {
 	set := 0
 	for _, s := range []string{t.certificate, t.key, t.authority} {
 		if s != "" {
@@ -145,7 +154,7 @@
 		c.fail("certificate", "%v", err)
 		return nil
 	}
-	return k.Config()
+	return k
 }
 
 // listen opens a TCP port, with TLS if it is configured.
--- a/internal/http/operator/client.go
+++ b/internal/http/operator/client.go
@@ -1,8 +1,10 @@
 package operator
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,6 +12,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/http/openai"
+	"rhubarbgate.example/rhubarbgate/internal/security/reload"
 	"rhubarbgate.example/rhubarbgate/internal/state/burn"
 	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -23,6 +26,20 @@
 	// Base is the address, such as http://127.0.0.1:8081.
 	Base       string
 	Credential string
+	// Authority is the file of the fleet authority, for https addresses.
+	Authority string
+}
+
+// tls returns settings that know the control hosts by the fleet's authority.
+func (c *Client) tls() (*tls.Config, error) {
+	if c.Authority == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(c.Authority)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return reload.ServerOnly(pem)
 }
 
 // do sends a request. The library must not repeat it by itself.
@@ -41,7 +58,11 @@
 		q.SetBody(b)
 		q.Header.SetContentType("application/json")
 	}
-	h := fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	t, err := c.tls()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	h := fasthttp.Client{TLSConfig: t, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	if err := h.DoTimeout(q, r, requestTimeout); err != nil {
 		return errors.Annotatef(err, "%s %s", method, path)
 	}
--- a/internal/security/reload/reload.go
+++ b/internal/security/reload/reload.go
@@ -136,6 +136,35 @@
 	}
 }
 
+// OperatorConfig returns settings for a listener whose callers show a credential
+// instead of a certificate.
+func (k *Keeper) OperatorConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return k.get().certificate, nil
+		},
+	}
+}
+
+// ServerOnly returns settings for a tool that checks the other end's certificate
+// and shows none itself.
+func ServerOnly(authority []byte) (*tls.Config, error) {
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return nil, errors.NotValidf("authority without a certificate")
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// The chain is checked below, without a name.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: roots, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
+			return errors.Annotate(err, "peer certificate")
+		},
+	}, nil
+}
+
 func (k *Keeper) verify(s tls.ConnectionState) error {
 	if len(s.PeerCertificates) == 0 {
 		return errors.Unauthorizedf("peer without a certificate")
