Stand-in: notice a closed connection at once

The stand-in noticed a cancelled stream only at its next failed write, one or two steps late, while engines notice a disconnect at once and drop the stream at the next step.

Change: the stand-in watches the connection while it streams.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -126,7 +126,8 @@
 	a := &answer{id: id, model: q.Model, chat: chat, usage: usage}
 	if q.Stream {
 		c.Set(fiber.HeaderContentType, "text/event-stream")
-		c.Context().SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(w, s, a) })
+		conn := c.Context().Conn()
+		c.Context().SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(w, conn, s, a) })
 		return nil
 	}
 	var text strings.Builder
@@ -145,8 +146,10 @@
 	return b.String()
 }
 
-func (e *Engine) stream(w *bufio.Writer, s *stream, a *answer) {
+func (e *Engine) stream(w *bufio.Writer, conn net.Conn, s *stream, a *answer) {
+	stop := e.watchClose(conn, s)
 	defer e.leave(s)
+	defer stop()
 	for t := range s.tokens {
 		if a.event(w, t, false) != nil {
 			return
@@ -174,6 +177,27 @@
 	return s, cached
 }
 
+// watchClose ends the stream as soon as the caller closes the connection, not
+// only when a write fails. A caller sends nothing before the answer has ended.
+func (e *Engine) watchClose(conn net.Conn, s *stream) (stop func()) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, err := conn.Read(make([]byte, 1))
+		var t net.Error
+		if !errors.As(err, &t) || !t.Timeout() {
+			e.leave(s)
+		}
+	}()
+	return func() {
+		past := time.Unix(1, 0)
+		// An error means that the connection is closed, which ends the read too.
+		_ = conn.SetReadDeadline(past)
+		<-ended
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+}
+
 func (e *Engine) leave(s *stream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
