--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -33,7 +33,7 @@
 	defaultFirstToken    = 1300 * time.Millisecond
 	defaultBetweenTokens = 68 * time.Millisecond
 	// batchStartEvery spaces the starts of batch items beside online work.
-	batchStartEvery = 15 * time.Millisecond
+	batchStartEvery = 25 * time.Millisecond
 	// drainPoll is how often a leaving side looks whether its work has ended.
 	drainPoll = 20 * time.Millisecond
 	// probeInterval is how often the target's port is tried.
