Entries use a subset of the targets, and reports thin out with distance

Cause: every entry followed every side at 5 reports a second. At 383 entries and 7,300 sides that is 36,500 reports a second on each entry and 1,915 on each side, several hundred times the budget.

The interval of reports grows with the number of sides followed (80 reports a second in all) and doubles with each step of distance. Each answer's last frame carries a fresh report too.

--- a/internal/command/rhubarbgate/roles.go
+++ b/internal/command/rhubarbgate/roles.go
@@ -27,6 +27,7 @@
 	defaultGrace  = 90 * time.Second
 	defaultLag    = 2 * time.Second
 	defaultGroups = 3
+	defaultSubset = 16
 )
 
 // newRandom returns a generator with a seed of its own; 0 draws one.
@@ -124,6 +125,7 @@
 	var listenOn, relayOn, controls, parents, zone, picker, debug string
 	var maxAge, grace, lag time.Duration
 	var unlimited bool
+	var subset int
 	var files tlsFlags
 	c := &cobra.Command{
 		Use:   "entry",
@@ -137,6 +139,7 @@
 	f.StringVar(&parents, "parents", "", "where to poll configuration; empty means the control hosts")
 	f.StringVar(&zone, "availability-zone", "", "this host's availability zone, as ZONE or REGION/ZONE")
 	f.StringVar(&picker, "picker", "affinity", "choice of target: affinity, two-choices, helper-cost or round-robin")
+	f.IntVar(&subset, "subset", defaultSubset, "targets of one model or route that this entry uses; 0 means all")
 	f.BoolVar(&unlimited, "unlimited-retries", false, "retry without a budget (baseline)")
 	f.StringVar(&debug, "debug", "", "IP:PORT for counters; empty means none")
 	f.DurationVar(&maxAge, "max-age", defaultMaxAge, "age of the configuration beyond which keyed requests are refused")
@@ -150,7 +153,7 @@
 		k.that(maxAge > 0, "max-age", "is not positive")
 		on := k.address("listen", listenOn)
 		h := &entry.Host{
-			AvailabilityZone: zone, Control: k.addresses("control", controls), Picker: picker, UnlimitedRetries: unlimited,
+			AvailabilityZone: zone, Control: k.addresses("control", controls), Picker: picker, UnlimitedRetries: unlimited, Subset: subset,
 			Clock: clockwork.NewRealClock(), Random: newRandom(0), Logger: newLogger(os.Stderr, "entry"),
 			Metrics: expvar.NewMap("Entry"), MaxAge: maxAge, Lag: lag, Grace: grace,
 		}
--- a/internal/controller/targets/table.go
+++ b/internal/controller/targets/table.go
@@ -23,10 +23,16 @@
 )
 
 const (
-	// reportInterval is how often a side reports its load.
+	// reportInterval is how often a near side reports its load.
 	reportInterval = 200 * time.Millisecond
-	// silentAfter is how long a side may be silent before others are preferred.
-	silentAfter = 1500 * time.Millisecond
+	// reportsPerSecond bounds the reports that an entry takes from all sides.
+	reportsPerSecond = 80
+	// thinning is the factor of the interval for each step of distance.
+	thinning = 2
+	// silentAfter is how long a side may be silent before others are preferred;
+	// silentReports is the same in its own intervals.
+	silentAfter   = 1500 * time.Millisecond
+	silentReports = 3
 	// reconnectPause is the wait before a report stream is opened again.
 	reconnectPause = 200 * time.Millisecond
 	// latencySmoothing is the weight of a new latency sample.
@@ -40,6 +46,10 @@
 	Logger log.Interface
 	// AvailabilityZone is the entry's own.
 	AvailabilityZone string
+	// Name is the entry's; it spreads the subsets of different entries.
+	Name string
+	// Subset bounds the targets of one model or route that the entry uses.
+	Subset int
 	// Ejections counts targets taken out for failures.
 	Ejections *expvar.Int
 	// Neutral makes all targets look equally far and fast, for baselines.
@@ -58,6 +68,7 @@
 	inflight atomic.Int64
 	latency  atomic.Uint64 // bits of a float64 in seconds
 	report   atomic.Pointer[received]
+	interval atomic.Int64 // of reports
 	cancel   context.CancelFunc
 }
 
@@ -83,14 +94,15 @@
 func (t *Table) Update(c *config.Config) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	chosen := subset(c, t.AvailabilityZone, t.Name, t.Subset)
 	for name, s := range t.targets {
-		x, ok := c.Targets[name]
+		x, ok := chosen[name]
 		if !ok || x.Address != s.target.Load().Address {
 			s.cancel()
 			delete(t.targets, name)
 		}
 	}
-	for name, x := range c.Targets {
+	for name, x := range chosen {
 		if s, ok := t.targets[name]; ok {
 			s.target.Store(&x)
 			continue
@@ -122,10 +134,12 @@
 func (t *Table) session(ctx context.Context, s *state, a netip.AddrPort) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	interval := t.interval(s.target.Load())
+	s.interval.Store(int64(interval))
 	// A silent connection is given up, so that a new one can be tried.
-	watchdog := t.Clock.AfterFunc(2*silentAfter, cancel)
+	watchdog := t.Clock.AfterFunc(2*s.silence(), cancel)
 	defer watchdog.Stop()
-	r, err := wire.Open[side.Report](ctx, t.Wire, a, side.MethodReport, &side.Watch{Interval: reportInterval})
+	r, err := wire.Open[side.Report](ctx, t.Wire, a, side.MethodReport, &side.Watch{Interval: interval})
 	if err != nil {
 		return
 	}
@@ -135,11 +149,36 @@
 		if err != nil {
 			return
 		}
-		watchdog.Reset(2 * silentAfter)
+		watchdog.Reset(2 * s.silence())
 		s.report.Store(&received{Report: *x, at: t.Clock.Now()})
 	}
 }
 
+// interval is how often a side is to report: less often the farther it is and
+// the more sides this entry follows.
+func (t *Table) interval(x *rhubarbgate.Target) time.Duration {
+	t.mu.RLock()
+	n := len(t.targets)
+	t.mu.RUnlock()
+	d := max(reportInterval, time.Duration(n)*time.Second/reportsPerSecond)
+	for range Distance(t.AvailabilityZone, x.AvailabilityZone) - 1 {
+		d *= thinning
+	}
+	return d
+}
+
+// silence is how long the side may be silent.
+func (s *state) silence() time.Duration {
+	return max(silentAfter, silentReports*time.Duration(s.interval.Load()))
+}
+
+// Reported takes a report that came with an answer.
+func (t *Table) Reported(name string, r *side.Report) {
+	if s := t.state(name); s != nil && r != nil {
+		s.report.Store(&received{Report: *r, at: t.Clock.Now()})
+	}
+}
+
 // Candidates returns the targets that may serve a model or route, leaving out
 // those named in tried. Silent and ejected targets are left out unless nothing
 // else remains.
@@ -154,7 +193,7 @@
 			continue
 		}
 		c := t.candidate(x, s, r)
-		if r == nil || r.EngineDown || now.Sub(r.at) > silentAfter {
+		if r == nil || r.EngineDown || now.Sub(r.at) > s.silence() {
 			silent = append(silent, c)
 		} else {
 			good = append(good, c)
--- a/internal/http/caller/relay.go
+++ b/internal/http/caller/relay.go
@@ -55,6 +55,9 @@
 			r.server.Counts.Foreign.Add(1)
 			continue
 		}
+		if f.Kind == side.End {
+			r.server.Targets.Reported(r.target, f.Report)
+		}
 		if f.Kind == side.End && f.Err != nil {
 			return nil, f.Err
 		}
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -49,6 +49,9 @@
 	Control          []netip.AddrPort
 	// Picker names the choice of target: affinity, two-choices, helper-cost or round-robin.
 	Picker string
+	// Subset bounds the targets of one model or route that the entry uses; 0 means
+	// no bound.
+	Subset int
 	// UnlimitedRetries replaces the retry budget by the baseline.
 	UnlimitedRetries bool
 	TLS              *tls.Config
@@ -78,7 +81,7 @@
 	controls := &control.Client{Wire: client, Hosts: h.Control, Clock: h.Clock}
 	table := &targets.Table{
 		Wire: client, Clock: h.Clock, Logger: h.Logger,
-		AvailabilityZone: h.AvailabilityZone, Ejections: h.counter("TargetsEjected"),
+		AvailabilityZone: h.AvailabilityZone, Name: name, Subset: h.Subset, Ejections: h.counter("TargetsEjected"),
 	}
 	table.Start(work)
 	h.table.Store(table)
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -207,12 +207,7 @@
 	t := h.Clock.NewTicker(max(w.Interval, time.Millisecond))
 	defer t.Stop()
 	for {
-		l := h.keeper.Load()
-		r := &side.Report{
-			Target: h.Name, Running: l.Online, Queued: l.Queued, Batch: l.Batch, Slots: h.Slots,
-			Wait: l.Wait, Leaving: h.isLeaving(), EngineDown: h.down.Load(),
-		}
-		if err := send(r); err != nil {
+		if err := send(h.load()); err != nil {
 			return errors.Trace(err)
 		}
 		select {
@@ -223,5 +218,14 @@
 	}
 }
 
+// load describes the side's work at this moment.
+func (h *Host) load() *side.Report {
+	l := h.keeper.Load()
+	return &side.Report{
+		Target: h.Name, Running: l.Online, Queued: l.Queued, Batch: l.Batch, Slots: h.Slots,
+		Wait: l.Wait, Leaving: h.isLeaving(), EngineDown: h.down.Load(),
+	}
+}
+
 // configuration returns the configuration in force.
 func (h *Host) configuration() *config.Config { return h.watcher.Current() }
--- a/internal/role/side/online.go
+++ b/internal/role/side/online.go
@@ -33,7 +33,7 @@
 	if err != nil && err.Verdict == rhubarbgate.NotRun {
 		h.counts.refused.Add(1)
 	}
-	return s.frame(&side.Frame{Kind: side.End, Err: err})
+	return s.frame(&side.Frame{Kind: side.End, Err: err, Report: h.load()})
 }
 
 // session is one attempt at an online request.
--- a/internal/rpc/side/message.go
+++ b/internal/rpc/side/message.go
@@ -63,6 +63,8 @@
 	// Data holds whole server-sent events if the answer is a stream of them.
 	Data []byte
 	Err  *rhubarbgate.Error
+	// Report comes with an End, so that entries that use a side hear of its load.
+	Report *Report
 }
 
 // Watch asks for reports at an interval.
