--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -23,8 +23,10 @@
 	pollWait = time.Second
 	// pollTimeout is how long to wait for a held poll before trying another parent.
 	pollTimeout = pollWait + 800*time.Millisecond
-	// pollPause is the wait after a failed poll.
-	pollPause = 100 * time.Millisecond
+	// pollPause and maxPollPause bound the wait after a failed poll. The longest
+	// leaves room for several tries before the configuration is too old.
+	pollPause    = 100 * time.Millisecond
+	maxPollPause = 800 * time.Millisecond
 	// usefulAge is the age above which another parent is tried.
 	usefulAge = 2 * time.Second
 	// keptBundles is how many bundles a relay keeps for its children.
@@ -59,19 +61,29 @@
 // Run polls until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	parent := w.Random.IntN(len(w.Parents))
+	failures := 0
 	for ctx.Err() == nil {
 		if w.poll(ctx, w.Parents[parent]) {
+			failures = 0
 			continue
 		}
 		w.Failures.Add(1)
+		failures++
 		parent = (parent + 1) % len(w.Parents)
 		select {
 		case <-ctx.Done():
-		case <-w.Clock.After(pollPause):
+		case <-w.Clock.After(w.pause(failures)):
 		}
 	}
 }
 
+// pause is the wait after failures in a row: longer each time up to a bound, and
+// random, so that daemons that lost a parent together do not return together.
+func (w *Watcher) pause(failures int) time.Duration {
+	longest := min(pollPause<<min(failures, 10), maxPollPause)
+	return pollPause/2 + time.Duration(w.Random.Int64N(int64(longest)))
+}
+
 // poll asks one parent and reports whether its answer was of use.
 func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort) bool {
 	p := &control.Poll{Version: w.version(), Wait: pollWait}
--- a/internal/controller/gatekeeper/gatekeeper.go
+++ b/internal/controller/gatekeeper/gatekeeper.go
@@ -168,6 +168,9 @@
 	delete(p.keeper.running, p.id)
 }
 
+// Preempt stops the work as if online work needed its place.
+func (p *Place) Preempt() { p.cancel(ErrPreempted) }
+
 // Leave frees the place.
 func (p *Place) Leave() {
 	p.count(-1)
--- a/internal/controller/targets/table.go
+++ b/internal/controller/targets/table.go
@@ -61,6 +61,7 @@
 	ejector health.Ejector
 	mu      sync.RWMutex
 	targets map[string]*state
+	leaving map[netip.Addr]bool // by the platform's host list
 	tasks   conc.WaitGroup
 	ctx     context.Context
 }
@@ -193,7 +194,7 @@
 	for name, s := range t.targets {
 		x := s.target.Load()
 		r := s.report.Load()
-		if tried[name] || x.Leaving || (r != nil && r.Leaving) || !serves(x, model, route) {
+		if tried[name] || x.Leaving || t.leaving[x.Address.Addr()] || (r != nil && r.Leaving) || !serves(x, model, route) {
 			continue
 		}
 		c := t.candidate(x, s, r)
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -53,6 +53,10 @@
 	// Subset bounds the targets of one model or route that the entry uses; 0 means
 	// no bound.
 	Subset int
+	// HostList is where the platform's host list is served, at HostListPath;
+	// invalid means that there is none.
+	HostList     netip.AddrPort
+	HostListPath string
 	// UnlimitedRetries replaces the retry budget by the baseline.
 	UnlimitedRetries bool
 	TLS              *tls.Config
@@ -111,6 +115,10 @@
 	tasks.Go(func() { watcher.Run(work) })
 	tasks.Go(func() { table.Run(work) })
 	tasks.Go(func() { exchange.Run(work) })
+	if h.HostList.IsValid() {
+		list := &targets.HostList{Source: h.HostList, Path: h.HostListPath, Clock: h.Clock, Table: table, Failures: h.counter("HostListFailures")}
+		tasks.Go(func() { list.Run(work) })
+	}
 	tasks.Go(func() { recorder.Run(work) })
 	tasks.Go(func() { served <- h.server.Serve(h.Listener) })
 	if h.Relay != nil {
--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -49,7 +49,7 @@
 func (w *worker) requeue(ctx context.Context, t *task) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t.running = false
+	t.place = nil
 	t.partial.preemptions++
 	if ctx.Err() == nil && t.partial.preemptions < maxDropped {
 		w.ready = append([]*task{t}, w.ready...)
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
@@ -51,12 +52,13 @@
 
 // task is one leased item.
 type task struct {
-	grant   jobs.Grant
-	group   uint32
-	ctx     context.Context
-	cancel  context.CancelFunc
-	until   time.Time // end of the lease
-	running bool
+	grant  jobs.Grant
+	group  uint32
+	ctx    context.Context
+	cancel context.CancelFunc
+	until  time.Time // end of the lease
+	// place is set while the task runs.
+	place   *gatekeeper.Place
 	partial partial
 }
 
@@ -80,6 +82,7 @@
 	g.Go(func() { w.renewLoop(ctx) })
 	w.lease(ctx)
 	w.handBack()
+	w.stopRunning()
 	w.tasks.Wait()
 	stopReport()
 	g.Wait()
@@ -228,7 +231,7 @@
 		if len(w.ready) > 0 && w.ready[0] == t {
 			w.ready = w.ready[1:]
 		}
-		t.running = p != nil
+		t.place = p
 		w.mu.Unlock()
 		if p != nil {
 			w.tasks.Go(func() { w.work(ctx, t, p) })
@@ -334,6 +337,17 @@
 	}
 }
 
+// stopRunning ends the tasks that another side may continue; the others finish.
+func (w *worker) stopRunning() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.held {
+		if t.place != nil && t.grant.Idempotent {
+			t.place.Preempt()
+		}
+	}
+}
+
 // handBack returns the leases of items that wait, when the side leaves.
 func (w *worker) handBack() {
 	w.mu.Lock()
