--- a/internal/consensus/raft/cluster_test.go
+++ b/internal/consensus/raft/cluster_test.go
@@ -163,6 +163,8 @@
 	self    Member
 	up      bool
 	paused  bool
+	// slowDisk makes each iteration, which waits for its sync, take long.
+	slowDisk bool
 }
 
 type flight struct {
@@ -282,7 +284,8 @@
 		}
 	}
 	for id := uint64(1); id <= uint64(len(c.nodes)+8); id++ {
-		if n := c.nodes[id]; n != nil && n.up && !n.paused {
+		n := c.nodes[id]
+		if n != nil && n.up && !n.paused && (!n.slowDisk || c.random.IntN(8) == 0) {
 			c.poll(id, n)
 		}
 	}
@@ -329,7 +332,7 @@
 	c.loss = 0
 	for id := uint64(1); id <= uint64(len(c.nodes)); id++ {
 		n := c.nodes[id]
-		n.paused = false
+		n.paused, n.slowDisk = false, false
 		n.log.tear = false
 		if !n.up {
 			c.start(n)
--- a/internal/consensus/raft/raft_test.go
+++ b/internal/consensus/raft/raft_test.go
@@ -106,7 +106,7 @@
 	id := uint64(rapid.IntRange(1, voters).Draw(t, "victim"))
 	other := uint64(rapid.IntRange(1, voters).Draw(t, "other"))
 	n := c.nodes[id]
-	switch rapid.IntRange(0, 9).Draw(t, "fault") {
+	switch rapid.IntRange(0, 10).Draw(t, "fault") {
 	case 0, 1:
 		c.crash(id)
 	case 2, 3:
@@ -125,6 +125,8 @@
 		c.loss = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
 	case 8:
 		n.paused = !n.paused
+	case 10:
+		n.slowDisk = !n.slowDisk
 	case 9:
 		n.log.tear = n.up
 		if n.up {
@@ -304,3 +306,22 @@
 		qt.Assert(t, l != nil && l != old, qt.IsTrue, qt.Commentf("seed %d: nobody took over", seed))
 	}
 }
+
+// TestEarlierTermIsNotCommittedByCount checks that an entry of an earlier term is
+// not committed by its copies alone: another leader could still overwrite it.
+func TestEarlierTermIsNotCommittedByCount(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, 3)
+	x := k.nodes[1].group.core
+	x.phase, x.term = Leader, 3
+	x.entries.append(Entry{Term: 2, Index: 1, Kind: EntryCommand, Data: command(0, 1)})
+	x.synced = 1
+	x.syncPeers()
+	x.peers[2].match = 1
+	x.leaderCommit()
+	c.Assert(x.commit, qt.Equals, uint64(0))
+	x.noopIndex = x.append(EntryNoop, nil)
+	x.synced, x.peers[2].match = 2, 2
+	x.leaderCommit()
+	c.Assert(x.commit, qt.Equals, uint64(2))
+}
--- a/internal/controller/gatekeeper/gatekeeper.go
+++ b/internal/controller/gatekeeper/gatekeeper.go
@@ -19,11 +19,14 @@
 type Gatekeeper struct {
 	Gate  rhubarbgate.Gate
 	Clock clockwork.Clock
+	// Yielded is told, if set, how long preempted work took to leave its place.
+	Yielded func(time.Duration)
 
 	mu      sync.Mutex
 	next    uint64
 	waiting map[uint64]chan bool
 	running map[uint64]context.CancelCauseFunc
+	stopped map[uint64]time.Time // preempted work that has not left yet
 	online  int
 	batch   int
 	room    chan struct{}
@@ -36,6 +39,7 @@
 func (k *Gatekeeper) Start() {
 	k.waiting = map[uint64]chan bool{}
 	k.running = map[uint64]context.CancelCauseFunc{}
+	k.stopped = map[uint64]time.Time{}
 	k.room = make(chan struct{}, 1)
 }
 
@@ -76,6 +80,7 @@
 	for _, id := range d.Preempt {
 		if cancel := k.running[id]; cancel != nil {
 			cancel(ErrPreempted)
+			k.stopped[id] = k.Clock.Now()
 		}
 	}
 	if len(k.waiting) == 0 {
@@ -177,6 +182,12 @@
 	p.forget()
 	p.keeper.mu.Lock()
 	defer p.keeper.mu.Unlock()
+	if at, ok := p.keeper.stopped[p.id]; ok {
+		delete(p.keeper.stopped, p.id)
+		if p.keeper.Yielded != nil {
+			p.keeper.Yielded(p.keeper.Clock.Since(at))
+		}
+	}
 	p.keeper.carryOut(p.keeper.Gate.Done(p.id))
 }
 
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -83,6 +83,13 @@
 
 type counters struct {
 	online, batch, preempted, refused, late, lost *expvar.Int
+	// slowestYield is in microseconds.
+	slowestYield *expvar.Int
+}
+
+// noteYield keeps the longest time that a preempted item took to stop.
+func (c *counters) noteYield(d time.Duration) {
+	c.slowestYield.Set(max(c.slowestYield.Value(), d.Microseconds()))
 }
 
 func newCounters(m *expvar.Map) counters {
@@ -93,7 +100,7 @@
 	}
 	return counters{
 		online: n("OnlineRequests"), batch: n("BatchAttempts"), preempted: n("Preemptions"),
-		refused: n("RefusedNotRun"), late: n("ResultsTooLate"), lost: n("LeasesLost"),
+		refused: n("RefusedNotRun"), late: n("ResultsTooLate"), lost: n("LeasesLost"), slowestYield: n("SlowestYieldMicroseconds"),
 	}
 }
 
@@ -140,7 +147,7 @@
 		Wire: h.wire, Parents: h.Parents, Clock: h.Clock, Random: h.Random, Logger: h.Logger, Failures: failures,
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
-	h.keeper = &gatekeeper.Gatekeeper{Clock: h.Clock, Gate: h.gate()}
+	h.keeper = &gatekeeper.Gatekeeper{Clock: h.Clock, Gate: h.gate(), Yielded: h.counts.noteYield}
 	h.keeper.Start()
 	h.engine = &target.Client{Address: h.Target}
 	h.worker = newWorker(h)
--- a/internal/storage/disk/disk_test.go
+++ b/internal/storage/disk/disk_test.go
@@ -181,3 +181,26 @@
 		_ = replay(&s, b)
 	})
 }
+
+func FuzzSnapshotMeta(f *testing.F) {
+	dir := f.TempDir()
+	s := &Snapshots{Dir: dir}
+	if _, err := s.Save(raft.SnapshotMeta{Index: 9, Term: 2}, content("state")); err != nil {
+		f.Fatal(err)
+	}
+	b, err := os.ReadFile(filepath.Join(dir, metaFile))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte("x"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if os.WriteFile(filepath.Join(dir, metaFile), b, 0o600) != nil {
+			t.Skip()
+		}
+		x := &Snapshots{Dir: dir}
+		if x.Load() == nil && x.latest.File != "" && x.latest.Meta.Index != 9 {
+			t.Fatalf("took %+v for a snapshot", x.latest)
+		}
+	})
+}
--- a/measure/harm.sh
+++ b/measure/harm.sh
@@ -23,6 +23,7 @@
 both=$((b - a))
 preempted=0
 for i in 0 1; do preempted=$((preempted + $(counter $((BASE_PORT + 700 + i)) Side Preemptions))); done
+for i in 0 1; do echo "slowest yield of side $i: $(counter $((BASE_PORT + 700 + i)) Side SlowestYieldMicroseconds) us"; done
 for i in 0 1; do kill -KILL "${PID[side$i]}"; done
 SIDE_FLAGS="--first-come"
 for i in 0 1; do
