--- a/cmd/rhubarbgate/kill_test.go
+++ b/cmd/rhubarbgate/kill_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -127,6 +128,16 @@
 	}
 }
 
+// healthy asks an entry's health check.
+func (f *fleet) healthy(entry int) bool {
+	r, err := http.Get("http://" + f.address(fmt.Sprintf("entry%d", entry)) + "/healthz")
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
 // TestGracefulStop sends SIGTERM to processes of every role under load: no
 // request is cut, and each exits with status 0.
 func TestGracefulStop(t *testing.T) {
@@ -145,9 +156,12 @@
 					return
 				default:
 				}
-				// Callers of entry 1 only: entry 0 is stopped, and a balancer would
-				// have sent its callers elsewhere.
-				_, err := f.post(1, "/v1/completions", fmt.Sprintf(`{"model":"small","prompt":"p%d","max_tokens":30}`, i), "")
+				// As a balancer does, callers go where the health check passes.
+				entry := i % 2
+				if !f.healthy(entry) {
+					entry = 1
+				}
+				_, err := f.post(entry, "/v1/completions", fmt.Sprintf(`{"model":"small","prompt":"p%d","max_tokens":30}`, i), "")
 				mu.Lock()
 				if err != nil {
 					failures = append(failures, err.Error())
--- a/internal/controller/targets/table.go
+++ b/internal/controller/targets/table.go
@@ -55,8 +55,6 @@
 	Subset int
 	// Ejections counts targets taken out for failures.
 	Ejections *expvar.Int
-	// Neutral makes all targets look equally far and fast, for baselines.
-	Neutral bool
 
 	ejector health.Ejector
 	mu      sync.RWMutex
--- a/internal/http/caller/caller_test.go
+++ b/internal/http/caller/caller_test.go
@@ -5,7 +5,6 @@
 	"expvar"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -105,7 +104,7 @@
 	holder.Deliver(clock.Now(), nil, []limit.Grant{{Workspace: "w", ID: 1, Tokens: 1000, TTL: time.Hour}})
 	server := &Server{
 		Source: source, Holder: holder, Targets: table, Wire: client, Picker: &pick.RoundRobin{}, Budget: retry.Unlimited{},
-		Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logger: logger, Counts: NewCounters(new(expvar.Map).Init()), MaxAge: 4 * time.Second, Name: "e",
+		Clock: clock, Logger: logger, Counts: NewCounters(new(expvar.Map).Init()), MaxAge: 4 * time.Second, Name: "e",
 	}
 	server.Prepare()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/http/caller/server.go
+++ b/internal/http/caller/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -44,7 +43,6 @@
 	Picker  rhubarbgate.Picker
 	Budget  rhubarbgate.RetryBudget
 	Clock   clockwork.Clock
-	Random  *rand.Rand // guarded by newID
 	Logger  log.Interface
 	Counts  *Counters
 	// Observe is told the latencies of answered online requests.
--- a/internal/policy/limit/holder.go
+++ b/internal/policy/limit/holder.go
@@ -55,8 +55,7 @@
 	askAt   time.Time // not before
 	asked   bool      // an ask is under way
 	rate    float64   // of the workspace, 0 while not known
-	unknown bool
-	lost    bool // the last exchange failed
+	lost    bool      // the last exchange failed
 }
 
 type held struct {
@@ -323,7 +322,7 @@
 }
 
 func (p *purse) deliver(sent, now time.Time, g Grant) {
-	p.unknown, p.rate = g.Unknown, g.PerSecond
+	p.rate = g.PerSecond
 	if g.Tokens > 0 {
 		p.grants = append(p.grants, &held{id: g.ID, tokens: g.Tokens, expires: sent.Add(g.TTL)})
 		p.askAt = now
@@ -388,15 +387,6 @@
 	return p != nil && (p.lost || p.asked && p.rate == 0)
 }
 
-// Unknown reports whether the owner said that the workspace has no rate.
-func (h *Holder) Unknown(workspace string) bool {
-	s := h.shard(workspace)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.workspaces[workspace]
-	return p != nil && p.unknown
-}
-
 // Held returns how many unspent tokens the holder has for the workspace.
 func (h *Holder) Held(workspace string) float64 {
 	s := h.shard(workspace)
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -106,7 +106,7 @@
 	}
 	h.server = &caller.Server{
 		Source: watcher, Holder: exchange.Holder, Targets: table, Wire: client, Control: controls,
-		Picker: h.picker(), Budget: h.budget(), Clock: h.Clock, Random: h.random(2), Logger: h.Logger,
+		Picker: h.picker(), Budget: h.budget(), Clock: h.Clock, Logger: h.Logger,
 		Counts: caller.NewCounters(h.Metrics), Observe: recorder.Observe, MaxAge: h.MaxAge, Name: name,
 	}
 	h.server.Prepare()
