docs: the slope of control by entries under load

Cause: the cost of control by the number of entries was worked out from one message only.

Change: an arm of measure/slopes.sh with 1, 4 and 8 entries at 15 requests/s.

--- a/measure/slopes.sh
+++ b/measure/slopes.sh
@@ -48,6 +48,23 @@
     --debug "127.0.0.1:$((BASE_PORT + 650 + $1))"
 }
 
+# entry_load N: 15 requests a second on each of N entries, a workspace each.
+entry_load() {
+  local pids=()
+  for i in $(seq 0 $(($1 - 1))); do
+    "$BIN" load --url "127.0.0.1:$(entry_port "$i")" --caller-key "$(caller_key "$i")" --rate 15 --duration "${SECONDS_POINT}s" --max-tokens 4 --seed "$i" >/dev/null &
+    pids+=($!)
+  done
+  wait "${pids[@]}"
+}
+for n in 1 4 8; do
+  (
+    CONTROLS=1 TARGETS=2 ENTRIES=$n WORKSPACES=8 SLOTS=256 SIDE_FLAGS="--batch=false"
+    start_fleet
+    sleep 3
+    point entries "$n" entry_load "$n"
+  )
+done
 for n in 3 8 16; do
   (
     CONTROLS=3 TARGETS=1 SIDE_FLAGS="--batch=true" CONTROL_FLAGS="--job-groups $n"
