--- a/bundle.go
+++ b/bundle.go
@@ -18,6 +18,11 @@
 	ItemRate float64 `json:",omitempty"`
 	// ItemBurst is in batch items.
 	ItemBurst float64 `json:",omitempty"`
+	// Unlimited workspaces have neither rate nor burst.
+	Unlimited bool `json:",omitempty"`
+	// Priority is the rank of the workspace's requests, 0 the highest. It goes
+	// before that of the route.
+	Priority int `json:",omitempty"`
 }
 
 // Key grants access to a workspace. Only the digest of the secret is stored.
@@ -27,7 +32,8 @@
 	Workspace string
 }
 
-// Route is a plain service behind /services/{Name}/.
+// Route is a plain service behind /services/{Name}/ or, with a Path, a set of
+// requests that services of the platform's list answer.
 type Route struct {
 	Name string
 	// Open routes need no key.
@@ -36,6 +42,22 @@
 	Idempotent bool `json:",omitempty"`
 	// Timeout bounds a request from arrival to its last byte; 0 means the default.
 	Timeout time.Duration `json:",omitempty"`
+	Kind    RouteKind     `json:",omitempty"`
+	Path    Path          `json:",omitzero"`
+	// Split divides the requests among services by weight.
+	Split []Share `json:",omitempty"`
+	// Attempts is the most targets that one request may run on.
+	Attempts int `json:",omitempty"`
+	// Resumable streams may go on at another target behind the last event.
+	Resumable bool `json:",omitempty"`
+	Priority  int  `json:",omitempty"`
+	// Objective is the latency objective; streams: up to the first event.
+	Objective time.Duration `json:",omitempty"`
+	// Window is the time from a batch job's submission until its results are due.
+	Window time.Duration `json:",omitempty"`
+	// Retention is the time from a batch job's submission after which an item may
+	// be given up.
+	Retention time.Duration `json:",omitempty"`
 }
 
 // Model is a model that targets serve.
@@ -75,6 +97,11 @@
 	Put        Section
 	Remove     Removal
 	Signatures []Signature `json:",omitempty"`
+	// Whole bundles hold a complete configuration, which replaces any that has a
+	// lower version. Base and Remove are empty.
+	Whole bool `json:",omitempty"`
+	// Document is the configuration as its operator sent it.
+	Document []byte `json:",omitempty"`
 }
 
 // Section lists the objects that a bundle creates or replaces.
@@ -85,6 +112,9 @@
 	Models     []Model     `json:",omitempty"`
 	Targets    []Target    `json:",omitempty"`
 	Objectives []Objective `json:",omitempty"`
+	// Services and Limits are set by whole bundles.
+	Services []Service     `json:",omitempty"`
+	Limits   *CallerLimits `json:",omitempty"`
 }
 
 // Removal lists the names (for keys, the digests) that a bundle removes.
--- a/gate.go
+++ b/gate.go
@@ -50,3 +50,13 @@
 	// Wait estimates how long a new online request of the workspace queues.
 	Wait() time.Duration
 }
+
+// LoadGate is a Gate that goes by the load that the engine itself reports.
+type LoadGate interface {
+	Gate
+	// ObserveLoad takes a new report.
+	ObserveLoad(l TargetLoad) Decision
+	// LoadLost tells that the engine no longer reports; nothing starts until it
+	// does again.
+	LoadLost()
+}
--- /dev/null
+++ b/header.go
@@ -0,0 +1,7 @@
+package rhubarbgate
+
+// Header is one HTTP header.
+type Header struct {
+	Name  string
+	Value string
+}
--- a/internal/command/rhubarbgate/control.go
+++ b/internal/command/rhubarbgate/control.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"rhubarbgate.example/rhubarbgate/internal/http/operator"
-	rolecontrol "rhubarbgate.example/rhubarbgate/internal/role/control"
+	"rhubarbgate.example/rhubarbgate/internal/role/replica"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
@@ -22,6 +22,7 @@
 	var join bool
 	var groups, maxBatch int
 	var files tlsFlags
+	var seeded seedFlags
 	c := &cobra.Command{
 		Use:   "control",
 		Short: "Runs a control host, which keeps the replicated state",
@@ -40,13 +41,18 @@
 	f.IntVar(&groups, "job-groups", defaultGroups, "number of job groups, the same on all control hosts for ever")
 	f.IntVar(&maxBatch, "max-batch", 0, "commands synced together; 0 means no bound, 1 is the baseline")
 	files.add(f)
+	seeded.add(f)
 	c.RunE = func(c *cobra.Command, _ []string) error {
+		if seeded.seeds != "" {
+			seeded.data, seeded.listen, seeded.operator, seeded.debug = data, listenOn, operatorOn, debug
+			return seeded.run(c.Context(), false)
+		}
 		var k checks
 		k.that(data != "", "data", "is missing")
 		k.that(id > 0, "id", "is missing")
 		k.that(credential != "", "credential", "is missing")
 		k.that(groups >= 1 && groups <= 64, "job-groups", "%d is not between 1 and 64", groups)
-		h := &rolecontrol.Host{
+		h := &replica.Host{
 			ID: id, Data: data, Listen: k.address("listen", listenOn), Members: k.members("members", members), Join: join,
 			JobGroups: groups, MaxBatch: maxBatch, Operators: k.operators("operators", operators), Clock: clockwork.NewRealClock(),
 			Random: newRandom(0), Logger: newLogger(os.Stderr, "control"), Metrics: newMetrics("Control"),
@@ -70,7 +76,7 @@
 }
 
 // runControl runs a control host with its operators' listener.
-func runControl(ctx context.Context, h *rolecontrol.Host, operatorOn netip.AddrPort, operatorTLS *tls.Config, credential string) error {
+func runControl(ctx context.Context, h *replica.Host, operatorOn netip.AddrPort, operatorTLS *tls.Config, credential string) error {
 	var err error
 	if h.Listener, err = listen(h.Listen, h.TLS, h.Traffic); err != nil {
 		return errors.Trace(err)
--- a/internal/command/rhubarbgate/entry.go
+++ b/internal/command/rhubarbgate/entry.go
@@ -23,6 +23,7 @@
 	relay, picker, hostList string
 	unlimited               bool
 	subset                  int
+	direct                  directFlags
 }
 
 func newEntry() *cobra.Command {
@@ -39,7 +40,13 @@
 	f.BoolVar(&e.unlimited, "unlimited-retries", false, "retry without a budget (baseline)")
 	f.StringVar(&e.hostList, "host-list", "", "the platform's host list: http://IP:PORT/PATH; empty means none")
 	f.IntVar(&e.subset, "subset", defaultSubset, "targets of one model or route that this entry uses; 0 means all")
-	c.RunE = func(c *cobra.Command, _ []string) error { return e.run(c.Context()) }
+	e.direct.add(f)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if e.direct.list != "" {
+			return e.runDirect(c.Context())
+		}
+		return e.run(c.Context())
+	}
 	return c
 }
 
--- a/internal/command/rhubarbgate/roles.go
+++ b/internal/command/rhubarbgate/roles.go
@@ -71,3 +71,10 @@
 	}
 	return a
 }
+
+// newCounter adds a counter to m.
+func newCounter(m *expvar.Map, name string) *expvar.Int {
+	v := new(expvar.Int)
+	m.Set(name, v)
+	return v
+}
--- a/internal/command/rhubarbgate/root.go
+++ b/internal/command/rhubarbgate/root.go
@@ -30,6 +30,9 @@
 // Main runs the command line and returns the exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// Settings that may change are read when they are used, so the signal that
+	// asks for a reload has nothing else to do than not to end the process.
+	signal.Ignore(syscall.SIGHUP)
 	defer stop()
 	c := newRoot()
 	c.SetArgs(args)
@@ -59,7 +62,7 @@
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &errUsage{[]string{err.Error()}} })
 	c.AddCommand(
-		newControl(), newEntry(), newSide(), newDev(), newStandin(), newLoad(),
+		newControl(), newStore(), newEntry(), newSide(), newDev(), newStandin(), newLoad(),
 		newBundle(), newJob(), newStatus(), newMember(), newReport(), newCertificate(), newKey(),
 	)
 	return c
--- a/internal/command/rhubarbgate/side.go
+++ b/internal/command/rhubarbgate/side.go
@@ -25,6 +25,7 @@
 	target, name, models string
 	slots                int
 	batch, firstCome     bool
+	direct               directFlags
 }
 
 func newSide() *cobra.Command {
@@ -42,7 +43,13 @@
 	f.IntVar(&s.slots, "slots", defaultSlots, "requests that the target works on at once")
 	f.BoolVar(&s.batch, "batch", true, "run batch items in the gaps")
 	f.BoolVar(&s.firstCome, "first-come", false, "replace the gate by first come, first served (baseline)")
-	c.RunE = func(c *cobra.Command, _ []string) error { return s.run(c.Context()) }
+	s.direct.add(f)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if s.direct.list != "" {
+			return s.runBeside(c.Context())
+		}
+		return s.run(c.Context())
+	}
 	return c
 }
 
--- a/internal/consensus/raft/message.go
+++ b/internal/consensus/raft/message.go
@@ -2,6 +2,7 @@
 package raft
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -69,7 +70,7 @@
 func (m Members) With(x Member) Members {
 	r := m.Without(x.ID)
 	r = append(r, x)
-	slices.SortFunc(r, func(a, b Member) int { return int(a.ID) - int(b.ID) })
+	slices.SortFunc(r, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return r
 }
 
--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -32,6 +32,8 @@
 	Groups() int
 	// Backlog lists what pending batch items need, ordered.
 	Backlog() []string
+	// Peers lists the hosts that keep replicated state.
+	Peers() control.Peers
 }
 
 // Register answers polls of other daemons from s.
@@ -55,7 +57,7 @@
 	// The age is read first: what follows can only be newer.
 	age := clock.Now().Sub(s.Fresh())
 	c := s.Current()
-	r := &control.PollReply{Version: c.Version, Digest: c.Digest, Sum: c.Sum, Age: age, Groups: s.Groups(), Backlog: s.Backlog()}
+	r := &control.PollReply{Version: c.Version, Digest: c.Digest, Sum: c.Sum, Age: age, Groups: s.Groups(), Backlog: s.Backlog(), Peers: s.Peers()}
 	if c.Version <= p.Version {
 		return r
 	}
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -45,6 +45,8 @@
 	Failures *expvar.Int
 	// Applied is called, if set, after each new version.
 	Applied func(*config.Config)
+	// Met is called, if set, with the peers that an answer names.
+	Met func(control.Peers)
 
 	mu       sync.RWMutex
 	current  *config.Config
@@ -52,6 +54,7 @@
 	fresh    time.Time
 	groups   int
 	backlog  []string
+	peers    control.Peers
 	resync   bool
 	notifier Notifier
 }
@@ -63,13 +66,14 @@
 	parent := w.Random.IntN(len(w.Parents))
 	failures := 0
 	for ctx.Err() == nil {
-		if w.poll(ctx, w.Parents[parent]) {
+		parents := w.parents()
+		if w.poll(ctx, parents[parent%len(parents)]) {
 			failures = 0
 			continue
 		}
 		w.Failures.Add(1)
 		failures++
-		parent = (parent + 1) % len(w.Parents)
+		parent++
 		select {
 		case <-ctx.Done():
 		case <-w.Clock.After(w.pause(failures)):
@@ -77,6 +81,27 @@
 	}
 }
 
+// parents are those that were set and, behind them, the control hosts that
+// answers named.
+func (w *Watcher) parents() []netip.AddrPort {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	r := slices.Clone(w.Parents)
+	for _, a := range w.peers.Controls {
+		if !slices.Contains(r, a) {
+			r = append(r, a)
+		}
+	}
+	return r
+}
+
+// Peers implements Source.
+func (w *Watcher) Peers() control.Peers {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.peers
+}
+
 // pause is the wait after failures in a row: longer each time up to a bound, and
 // random, so that daemons that lost a parent together do not return together.
 func (w *Watcher) pause(failures int) time.Duration {
@@ -123,6 +148,12 @@
 		return false
 	}
 	w.groups = r.Groups
+	if len(r.Peers.Controls) > 0 {
+		w.peers = r.Peers
+		if w.Met != nil {
+			w.Met(r.Peers)
+		}
+	}
 	if at := sent.Add(-r.Age); r.Version <= w.current.Version && at.After(w.fresh) {
 		w.fresh = at
 	}
--- a/internal/controller/gatekeeper/gatekeeper.go
+++ b/internal/controller/gatekeeper/gatekeeper.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// ObserveLoad passes a report of the engine on to a LoadGate.
+func (k *Gatekeeper) ObserveLoad(l rhubarbgate.TargetLoad) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if g, ok := k.Gate.(rhubarbgate.LoadGate); ok {
+		k.carryOut(g.ObserveLoad(l))
+	}
+}
+
+// LoadLost tells a LoadGate that the engine no longer reports.
+func (k *Gatekeeper) LoadLost() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if g, ok := k.Gate.(rhubarbgate.LoadGate); ok {
+		g.LoadLost()
+	}
+}
+
 // Room returns a channel that signals that batch work may find room.
 func (k *Gatekeeper) Room() <-chan struct{} { return k.room }
 
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -4,15 +4,18 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"net/http/httputil"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
@@ -27,14 +30,13 @@
 )
 
 // Header is one HTTP header.
-type Header struct {
-	Name  string
-	Value string
-}
+type Header = rhubarbgate.Header
 
 // Request is one call to the target.
 type Request struct {
-	Method     string
+	Method string
+	// Host is the header of that name; empty means the target's address.
+	Host       string
 	Path       string
 	Headers    []Header
 	Body       []byte
@@ -45,6 +47,20 @@
 // whether any byte of one was written.
 type Client struct {
 	Address netip.AddrPort
+	// Dialer opens connections; nil means one with a timeout of a second.
+	Dialer *net.Dialer
+	// Fresh is how long a connection may have been idle to carry a request that
+	// may not be repeated; 0 means that such requests get new connections.
+	Fresh time.Duration
+	// MaxIdle is how long a connection may be idle at all; 0 means no bound.
+	MaxIdle time.Duration
+	// Clock measures idle times; it may be nil if there are no bounds.
+	Clock clockwork.Clock
+	// CloseEnds accepts the end of the connection as the end of a body without a
+	// length.
+	CloseEnds bool
+	// Opened counts new connections, if set.
+	Opened *expvar.Int
 
 	mu   sync.Mutex
 	idle []*conn
@@ -54,6 +70,7 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	idleAt time.Time
 }
 
 // Answer is a response whose body is still being read.
@@ -78,7 +95,7 @@
 		return nil, rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.NotRun, "connecting to the target: %v", err)
 	}
 	stop := context.AfterFunc(ctx, func() { n.Close() })
-	a, err := n.exchange(r, c.Address)
+	a, err := n.exchange(r, c)
 	if err != nil {
 		stop()
 		n.Close()
@@ -102,17 +119,23 @@
 // connect returns a connection. A request that may not be repeated never goes
 // over one that the target could be closing at the same moment.
 func (c *Client) connect(ctx context.Context, reuse bool) (*conn, error) {
-	for reuse {
+	for reuse || c.Fresh > 0 {
 		n := c.takeIdle()
 		if n == nil {
 			break
 		}
-		if n.alive() {
+		if c.young(n, reuse) && n.alive() {
 			return n, nil
 		}
 		n.Close()
 	}
-	d := net.Dialer{Timeout: dialTimeout}
+	d := c.Dialer
+	if d == nil {
+		d = &net.Dialer{Timeout: dialTimeout}
+	}
+	if c.Opened != nil {
+		c.Opened.Add(1)
+	}
 	x, err := d.DialContext(ctx, "tcp", c.Address.String())
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -120,6 +143,19 @@
 	return &conn{Conn: x, reader: bufio.NewReader(x), writer: bufio.NewWriter(x)}, nil
 }
 
+// young reports whether a connection was idle for so short a time that the
+// target can hardly be closing it.
+func (c *Client) young(n *conn, repeatable bool) bool {
+	if c.Clock == nil {
+		return true
+	}
+	idle := c.Clock.Since(n.idleAt)
+	if !repeatable && idle > c.Fresh {
+		return false
+	}
+	return c.MaxIdle == 0 || idle <= c.MaxIdle
+}
+
 func (c *Client) takeIdle() *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -151,12 +187,16 @@
 	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
 }
 
-func (n *conn) exchange(r *Request, a netip.AddrPort) (*Answer, error) {
+func (n *conn) exchange(r *Request, c *Client) (*Answer, error) {
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
 	q.Header.SetMethod(r.Method)
 	q.SetRequestURI(r.Path)
-	q.Header.SetHost(a.String())
+	q.Header.SetHost(c.Address.String())
+	if r.Host != "" {
+		q.Header.SetHost(r.Host)
+	}
+	q.Header.SetNoDefaultContentType(true)
 	for _, h := range r.Headers {
 		q.Header.Add(h.Name, h.Value)
 	}
@@ -171,10 +211,10 @@
 	if err := h.Read(n.reader); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return n.answer(&h, r.Method == fasthttp.MethodHead), nil
+	return n.answer(&h, r.Method == fasthttp.MethodHead, c.CloseEnds), nil
 }
 
-func (n *conn) answer(h *fasthttp.ResponseHeader, noBody bool) *Answer {
+func (n *conn) answer(h *fasthttp.ResponseHeader, noBody, closeEnds bool) *Answer {
 	a := &Answer{Status: h.StatusCode(), conn: n, reuse: !h.ConnectionClose()}
 	for k, v := range h.All() {
 		a.Headers = append(a.Headers, Header{Name: string(k), Value: string(v)})
@@ -188,6 +228,9 @@
 	case length == identity:
 		// Such a body is not known to be whole when it ends.
 		a.body = cutReader{n.reader}
+		if closeEnds {
+			a.body = n.reader
+		}
 		a.reuse = false
 	default:
 		a.body = &chunkedReader{r: httputil.NewChunkedReader(n.reader), tail: n.reader}
@@ -218,12 +261,15 @@
 		a.conn.Close()
 		return
 	}
+	if a.client.Clock != nil {
+		a.conn.idleAt = a.client.Clock.Now()
+	}
 	a.client.idle = append(a.client.idle, a.conn)
 }
 
 // Header returns the first value of the named header.
 func (a *Answer) Header(name string) string {
-	i := slices.IndexFunc(a.Headers, func(h Header) bool { return h.Name == name })
+	i := slices.IndexFunc(a.Headers, func(h Header) bool { return strings.EqualFold(h.Name, name) })
 	if i < 0 {
 		return ""
 	}
--- /dev/null
+++ b/internal/policy/gate/yielding.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate"
+)
+
+// Yielding lets batch work have the slots that an engine's own reports show as
+// free, and stops it when they show online work waiting or the last slots taken.
+// Online work does not pass this gate. It is not safe for concurrent use.
+type Yielding struct {
+	Clock clockwork.Clock
+	// Slots is how many works the engine runs at once.
+	Slots int
+	// Headroom is the number of slots that batch work leaves free, so that an
+	// online request finds one while the next report is still to come.
+	Headroom int
+
+	running  []uint64 // the newest last
+	occupied int      // by the newest report, queued ones included
+	started  int      // since that report
+	stopping map[uint64]bool
+	known    bool
+}
+
+var _ rhubarbgate.LoadGate = (*Yielding)(nil)
+
+// ObserveLoad implements rhubarbgate.LoadGate.
+func (y *Yielding) ObserveLoad(l rhubarbgate.TargetLoad) rhubarbgate.Decision {
+	y.occupied, y.started, y.known = l.Running+l.Waiting, 0, true
+	var d rhubarbgate.Decision
+	// Those that were told to stop are still among the reported ones.
+	over := y.occupied - len(y.stopping) + y.Headroom - y.Slots
+	for over > 0 && len(y.running) > 0 {
+		last := len(y.running) - 1
+		id := y.running[last]
+		y.running = y.running[:last]
+		y.stopping[id] = true
+		d.Preempt = append(d.Preempt, id)
+		over--
+	}
+	return d
+}
+
+// LoadLost implements rhubarbgate.LoadGate.
+func (y *Yielding) LoadLost() { y.known = false }
+
+// Offer implements rhubarbgate.Gate.
+func (y *Yielding) Offer(w rhubarbgate.Work) rhubarbgate.Decision {
+	if y.stopping == nil {
+		y.stopping = map[uint64]bool{}
+	}
+	if y.BatchRoom() <= 0 {
+		return rhubarbgate.Decision{Refuse: []uint64{w.ID}}
+	}
+	y.running = append(y.running, w.ID)
+	y.started++
+	return rhubarbgate.Decision{Start: []uint64{w.ID}}
+}
+
+// Done implements rhubarbgate.Gate.
+func (y *Yielding) Done(id uint64) rhubarbgate.Decision {
+	delete(y.stopping, id)
+	for i, x := range y.running {
+		if x == id {
+			y.running = append(y.running[:i], y.running[i+1:]...)
+			break
+		}
+	}
+	return rhubarbgate.Decision{}
+}
+
+// Observe implements rhubarbgate.Gate.
+func (y *Yielding) Observe(_, _ time.Duration) {}
+
+// Tick implements rhubarbgate.Gate.
+func (y *Yielding) Tick() rhubarbgate.Decision { return rhubarbgate.Decision{} }
+
+// BatchRoom implements rhubarbgate.Gate.
+func (y *Yielding) BatchRoom() int {
+	if !y.known {
+		return 0
+	}
+	return y.Slots - y.Headroom - max(y.occupied+y.started, len(y.running)+len(y.stopping))
+}
+
+// Wait implements rhubarbgate.Gate.
+func (y *Yielding) Wait() time.Duration { return 0 }
--- a/internal/role/dev/fleet.go
+++ b/internal/role/dev/fleet.go
@@ -22,8 +22,8 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/http/operator"
-	rolecontrol "rhubarbgate.example/rhubarbgate/internal/role/control"
 	"rhubarbgate.example/rhubarbgate/internal/role/entry"
+	"rhubarbgate.example/rhubarbgate/internal/role/replica"
 	"rhubarbgate.example/rhubarbgate/internal/role/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -186,7 +186,7 @@
 		return errors.Trace(err)
 	}
 	f.control = a
-	h := &rolecontrol.Host{
+	h := &replica.Host{
 		ID: 1, Data: filepath.Join(f.Data, "control"), Listen: a, Members: map[uint64]netip.AddrPort{1: a},
 		JobGroups: jobGroups, TLS: c, Listener: l, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Control"),
 		Operators: config.Operators{
@@ -201,7 +201,7 @@
 	return f.startOperator(h, c)
 }
 
-func (f *Fleet) startOperator(h *rolecontrol.Host, c *tls.Config) error {
+func (f *Fleet) startOperator(h *replica.Host, c *tls.Config) error {
 	l, err := net.Listen("tcp", f.Operator.String())
 	if err != nil {
 		return errors.Trace(err)
--- /dev/null
+++ b/internal/role/entry/direct.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
+	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
+	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
+	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
+	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+)
+
+// Direct is an entry whose requests go straight to the targets of the platform's
+// list. Set the exported fields before Run.
+type Direct struct {
+	Listener         net.Listener // for callers
+	Readiness        net.Listener // for the balancer's checks
+	AvailabilityZone string
+	// Control are control hosts to begin with.
+	Control   []netip.AddrPort
+	Dialect   rhubarbgate.Dialect
+	Directory rhubarbgate.Directory
+	Wire      *wire.Client
+	Clock     clockwork.Clock
+	Random    *rand.Rand
+	Logger    log.Interface
+	Metrics   *expvar.Map
+	MaxAge    time.Duration
+	// Lag is how long the balancer may still send callers after the readiness
+	// check fails.
+	Lag time.Duration
+	// Grace is how long a leaving entry waits for its requests.
+	Grace time.Duration
+
+	server *ingress.Server
+}
+
+func (d *Direct) counter(name string) *expvar.Int {
+	v := new(expvar.Int)
+	d.Metrics.Set(name, v)
+	return v
+}
+
+func (d *Direct) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(d.Random.Uint64(), stream))
+}
+
+// Run serves until ctx ends; then it finishes the requests under way and stops.
+func (d *Direct) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	name := strconv.FormatUint(d.Random.Uint64(), 36)
+	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
+	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
+	watcher := &configuration.Watcher{
+		Wire: d.Wire, Parents: d.Control, Clock: d.Clock, Random: d.random(1), Logger: d.Logger,
+		Failures: d.counter("ConfigPollFailures"),
+		Met: func(p control.Peers) {
+			controls.Update(p.Controls)
+			stores.Update(p.Stores)
+		},
+	}
+	d.Metrics.Set("ConfigVersion", expvar.Func(func() any { return watcher.Current().Version }))
+	table := &discovery.Table{
+		Directory: d.Directory, Clock: d.Clock, Logger: d.Logger, AvailabilityZone: d.AvailabilityZone,
+		Failures: d.counter("ListFailures"), Unreadable: d.counter("ListEntriesUnreadable"),
+		Opened: d.counter("TargetConnections"), Ejections: d.counter("TargetsEjected"),
+	}
+	exchange := &limits.Exchange{
+		Holder: &limit.Holder{Clock: d.Clock}, Client: controls, Clock: d.Clock, Name: name,
+		Groups: watcher.Groups, Exchanges: d.counter("LimitExchanges"),
+	}
+	exchange.Start()
+	d.server = &ingress.Server{
+		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Stores: stores,
+		Picker: &pick.Least{Random: d.random(2)}, Budget: &retry.Budget{Ratio: retryRatio, Most: retryReserve},
+		Clock: d.Clock, Random: d.random(3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
+	}
+	d.server.Prepare()
+	var tasks conc.WaitGroup
+	served := make(chan error, 2)
+	tasks.Go(func() { watcher.Run(work) })
+	tasks.Go(func() { table.Run(work) })
+	tasks.Go(func() { exchange.Run(work) })
+	tasks.Go(func() { served <- d.server.Serve(d.Listener) })
+	tasks.Go(func() { served <- d.server.ServeReadiness(d.Readiness) })
+	var err error
+	select {
+	case <-ctx.Done():
+		d.leave()
+	case err = <-served:
+	}
+	stop()
+	tasks.Wait()
+	return errors.Trace(err)
+}
+
+// leave lets the balancer notice, and then waits for the requests under way.
+func (d *Direct) leave() {
+	d.server.Leave()
+	d.Logger.Info("leaving")
+	until := d.Clock.Now().Add(d.Grace)
+	d.Clock.Sleep(d.Lag)
+	for d.server.Active() > 0 && d.Clock.Now().Before(until) {
+		d.Clock.Sleep(drainPoll)
+	}
+	ctx, cancel := deadline.WithTimeout(context.Background(), d.Clock, time.Second)
+	defer cancel()
+	if err := d.server.Shutdown(ctx); err != nil {
+		d.Logger.WithError(err).Warn("connections were still open at the stop")
+	}
+}
--- a/internal/role/control/bench_test.go
+++ b/internal/role/replica/bench_test.go
@@ -1,4 +1,4 @@
-package control
+package replica
 
 import (
 	"context"
--- a/internal/role/control/bootstrap.go
+++ b/internal/role/replica/bootstrap.go
@@ -1,8 +1,9 @@
-package control
+package replica
 
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -41,7 +42,7 @@
 
 // initialised reports whether all groups have a membership.
 func (h *Host) initialised() bool {
-	for _, g := range h.groups {
+	for g := range h.running() {
 		if len(g.Status().Members) == 0 {
 			return false
 		}
@@ -55,9 +56,12 @@
 	if h.Join {
 		return nil, false
 	}
+	if len(h.Seeds) > 0 {
+		return h.firstSeeds(ctx)
+	}
 	var blank raft.Members
 	for _, id := range slices.Sorted(maps.Keys(h.Members)) {
-		r, err := h.hello(ctx, id)
+		r, err := h.hello(ctx, h.Members[id])
 		if err != nil {
 			continue
 		}
@@ -76,26 +80,54 @@
 	return blank, false
 }
 
-func (h *Host) hello(ctx context.Context, id uint64) (*control.HelloReply, error) {
-	if id == h.ID {
+// firstSeeds returns the first membership, made of the seeds, once all of them
+// have been met without state. Hosts that are no seeds are added later.
+func (h *Host) firstSeeds(ctx context.Context) (first raft.Members, lost bool) {
+	if !slices.Contains(h.Seeds, h.Listen) {
+		return nil, false
+	}
+	var blank raft.Members
+	for _, a := range h.Seeds {
+		r, err := h.hello(ctx, a)
+		if err != nil {
+			continue
+		}
+		if r.Initialised {
+			self, ok := r.Members.Find(h.ID)
+			if ok && self.Incarnation == h.identity.Incarnation {
+				return r.Members, false
+			}
+			return nil, false
+		}
+		blank = blank.With(raft.Member{ID: r.ID, Incarnation: r.Incarnation, Address: a})
+	}
+	if len(blank) < len(h.Seeds) {
+		return nil, false
+	}
+	return blank, false
+}
+
+func (h *Host) hello(ctx context.Context, a netip.AddrPort) (*control.HelloReply, error) {
+	if a == h.Listen {
 		return h.sayHello(), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	return wire.Call[control.HelloReply](ctx, h.wire, h.Members[id], control.MethodHello, &control.Hello{})
+	return wire.Call[control.HelloReply](ctx, h.wire, a, control.MethodHello, &control.Hello{})
 }
 
 func (h *Host) sayHello() *control.HelloReply {
-	s := h.groups[control.FleetGroup].Status()
 	r := &control.HelloReply{ID: h.ID, Incarnation: h.identity.Incarnation, Address: h.Listen, Groups: h.JobGroups}
-	r.Initialised = len(s.Members) > 0
-	r.Members = s.First
+	if !h.Store {
+		s := h.groups[control.FleetGroup].Status()
+		r.Initialised, r.Members = len(s.Members) > 0, s.First
+	}
 	return r
 }
 
 // install bootstraps the groups that have no state yet.
 func (h *Host) install(m raft.Members) {
-	for _, g := range h.groups {
+	for g := range h.running() {
 		if len(g.Status().Members) > 0 {
 			continue
 		}
--- a/internal/role/control/host.go
+++ b/internal/role/replica/host.go
@@ -1,11 +1,12 @@
-// Package control is the role of a control host: the replicated groups and what their leaders own.
-package control
+// Package replica is the role of the hosts with a disk, control and store hosts: the replicated groups and what their leaders own.
+package replica
 
 import (
 	"context"
 	"crypto/tls"
 	"expvar"
 	"fmt"
+	"iter"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -50,28 +51,49 @@
 	// snapshotBytes is the size of a group's log at which a snapshot is taken.
 	snapshotBytes = 16 << 20
 	// leadershipInterval is how often a host checks what it leads.
-	leadershipInterval = 20 * time.Millisecond
+	leadershipInterval = 50 * time.Millisecond
 	// backlogInterval is how often the backlog of batch items is looked at.
 	backlogInterval = 500 * time.Millisecond
 	// collectInterval is how often old jobs, files and claims are removed.
 	collectInterval = 10 * time.Minute
-	// retention is how long ended jobs, their files and idempotency keys are kept.
-	retention = 48 * time.Hour
+	// giveUpInterval is how often a store host looks for jobs whose retention ended.
+	giveUpInterval = time.Second
+	// giveUpMargin allows for times of day that differ or jump.
+	giveUpMargin = 10 * time.Second
+	// defaultRetention is how long ended jobs, their files and idempotency keys are kept.
+	defaultRetention = 48 * time.Hour
 	// shutdownPause lets a handover of leadership finish before the host stops.
 	shutdownPause = 300 * time.Millisecond
 )
 
-// Host is one control host. Set the exported fields before Run.
+// Host is one control or store host. Set the exported fields before Run.
 type Host struct {
-	ID      uint64
-	Data    string
-	Listen  netip.AddrPort
+	// ID is the host's; 0 means the one drawn with the data folder.
+	ID     uint64
+	Data   string
+	Listen netip.AddrPort
+	// Members are the first control hosts by ID.
 	Members map[uint64]netip.AddrPort
+	// Seeds are control hosts to begin with, instead of Members: hosts then find
+	// each other and plan the membership of the groups by themselves.
+	Seeds []netip.AddrPort
+	// Store hosts replicate batch jobs and follow the configuration of the
+	// control hosts.
+	Store bool
+	// Name and AvailabilityZone describe the host to the others.
+	Name             string
+	AvailabilityZone string
+	// Losses is how many hosts may be lost at once.
+	Losses int
 	// Join hosts wait to be added to an existing group.
 	Join      bool
 	JobGroups int
-	Operators config.Operators
-	TLS       *tls.Config // for connections to other hosts
+	// StoreGroups is the number of job groups that the store hosts are to have.
+	StoreGroups int
+	Operators   config.Operators
+	TLS         *tls.Config // for connections to other hosts
+	// Dialer opens connections to other hosts; nil means the default.
+	Dialer *net.Dialer
 	// Traffic counts the bytes between the fleet's processes, if set.
 	Traffic  *wire.Traffic
 	Listener net.Listener
@@ -81,9 +103,18 @@
 	Metrics  *expvar.Map
 	// MaxBatch bounds the commands synced together; 0 means no bound.
 	MaxBatch int
+	// Retention is how long ended jobs, their files and idempotency keys are kept;
+	// 0 means 48 hours.
+	Retention time.Duration
+
+	// Met is called, if set, with the control hosts that are known.
+	Met func([]netip.AddrPort)
 
 	identity  disk.Identity
-	fleet     *fleet.Machine
+	client    *control.Client        // of the fleet group, with Seeds
+	watcher   *configuration.Watcher // on store hosts
+	roster    roster
+	fleet     *fleet.Machine // nil on store hosts
 	groups    []*raft.Group
 	shards    []*leadership // by group, from 1
 	transport *peer.Transport
@@ -102,6 +133,7 @@
 	owner      *limit.Owner
 	dispatcher *batch.Dispatcher
 	collectAt  time.Time
+	dropAt     time.Time
 	// term is the term for which owner and dispatcher have begun.
 	term atomic.Uint64
 }
@@ -112,16 +144,25 @@
 	if err != nil {
 		return errors.Annotate(err, "data folder")
 	}
-	h.identity = id
+	h.identity, h.ID = id, id.ID
 	h.failure = make(chan error, h.JobGroups+1)
 	h.wire = wire.NewClient(h.TLS)
+	h.wire.Dialer = h.Dialer
 	h.wire.Traffic = h.Traffic
 	h.transport = &peer.Transport{Client: h.wire, Clock: h.Clock, Dropped: new(expvar.Int)}
 	h.Metrics.Set("PeerMessagesDropped", h.transport.Dropped)
-	h.fleet = fleet.New()
-	h.fleet.Changed = func(*config.Config) { h.notifier.Notify() }
-	if err := h.addGroup(control.FleetGroup, h.fleet); err != nil {
-		return errors.Trace(err)
+	if len(h.Seeds) > 0 {
+		h.client = &control.Client{Wire: h.wire, Hosts: h.Seeds, Clock: h.Clock}
+	}
+	if h.Store {
+		h.followConfiguration()
+		h.groups = append(h.groups, nil)
+	} else {
+		h.fleet = fleet.New()
+		h.fleet.Changed = func(*config.Config) { h.notifier.Notify() }
+		if err := h.addGroup(control.FleetGroup, h.fleet); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	for i := 1; i <= h.JobGroups; i++ {
 		if err := h.addShard(uint32(i)); err != nil {
@@ -145,7 +186,7 @@
 	l.dispatcher = &batch.Dispatcher{
 		Clock: h.Clock, Machine: m.Jobs,
 		Order:    &order.Deadline{Floor: order.DefaultFloor, Random: rand.New(rand.NewPCG(h.Random.Uint64(), uint64(id)))},
-		Weight:   func(w string) float64 { return h.fleet.Current().Weight(w) },
+		Weight:   func(w string) float64 { return h.Current().Weight(w) },
 		ItemRate: h.itemRate,
 	}
 	h.shards = append(h.shards, l)
@@ -153,12 +194,12 @@
 }
 
 func (h *Host) rate(workspace string) (limit.Rate, bool) {
-	w, ok := h.fleet.Current().Workspaces[workspace]
+	w, ok := h.Current().Workspaces[workspace]
 	return limit.Rate{PerSecond: w.Rate, Burst: w.Burst}, ok
 }
 
 func (h *Host) itemRate(workspace string) (limit.Rate, bool) {
-	w := h.fleet.Current().Workspaces[workspace]
+	w := h.Current().Workspaces[workspace]
 	return limit.Rate{PerSecond: w.ItemRate, Burst: max(w.ItemBurst, 1)}, w.ItemRate > 0
 }
 
@@ -198,13 +239,20 @@
 	defer stop()
 	h.transport.Start(work)
 	mux := wire.NewMux()
-	h.register(mux)
+	h.methods(mux)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { h.fail(mux.Serve(work, h.Listener)) })
-	for _, g := range h.groups {
+	for g := range h.running() {
 		tasks.Go(func() { h.fail(g.Run(work)) })
 	}
-	tasks.Go(func() { h.bootstrap(work) })
+	if h.Store {
+		tasks.Go(func() { h.watcher.Run(work) })
+	} else {
+		tasks.Go(func() { h.bootstrap(work) })
+	}
+	if h.client != nil {
+		tasks.Go(func() { h.register(work) })
+	}
 	tasks.Go(func() { h.lead(work) })
 	h.serving.Store(true)
 	var err error
@@ -220,6 +268,17 @@
 	return errors.Trace(err)
 }
 
+// running yields the groups that the host runs.
+func (h *Host) running() iter.Seq[*raft.Group] {
+	return func(yield func(*raft.Group) bool) {
+		for _, g := range h.groups {
+			if g != nil && !yield(g) {
+				return
+			}
+		}
+	}
+}
+
 func (h *Host) fail(err error) {
 	if err == nil {
 		return
@@ -232,7 +291,7 @@
 
 // handOver gives leadership away, so that a planned stop leaves no gap.
 func (h *Host) handOver() {
-	for _, g := range h.groups {
+	for g := range h.running() {
 		g.Transfer()
 	}
 	h.Clock.Sleep(shutdownPause)
@@ -240,7 +299,7 @@
 
 // Ready reports whether the host takes part in its groups.
 func (h *Host) Ready() bool {
-	return h.serving.Load() && len(h.groups[control.FleetGroup].Status().Members) > 0
+	return h.serving.Load() && (h.Store || len(h.groups[control.FleetGroup].Status().Members) > 0)
 }
 
 // lead starts owners and dispatchers of groups that this host comes to lead, and
@@ -258,6 +317,7 @@
 			l.check(h)
 		}
 		h.updateBacklog()
+		h.planMembers()
 	}
 }
 
@@ -280,6 +340,13 @@
 	}
 }
 
+func (h *Host) retention() time.Duration {
+	if h.Retention > 0 {
+		return h.Retention
+	}
+	return defaultRetention
+}
+
 // check begins a new term of leadership as soon as its lease is valid.
 func (l *leadership) check(h *Host) {
 	s := l.group.Status()
@@ -308,8 +375,19 @@
 	if now.Before(l.collectAt) {
 		return
 	}
-	l.collectAt = now.Add(collectInterval)
-	before := now.Add(-retention)
+	interval := collectInterval
+	if h.Store {
+		interval = giveUpInterval
+		for _, id := range l.machine.Jobs.Outdated(now.Add(-giveUpMargin)) {
+			l.propose(h, &shard.Command{Jobs: &jobs.Command{GiveUp: &jobs.GiveUp{Job: id}}})
+		}
+	}
+	l.collectAt = now.Add(interval)
+	if h.Store && now.Before(l.dropAt) {
+		return
+	}
+	l.dropAt = now.Add(collectInterval)
+	before := now.Add(-h.retention())
 	l.propose(h, &shard.Command{Jobs: &jobs.Command{Collect: &jobs.Collect{Before: before}}})
 	l.propose(h, &shard.Command{Claims: &claims.Command{Collect: &before}})
 }
--- a/internal/role/control/query.go
+++ b/internal/role/replica/query.go
@@ -1,4 +1,4 @@
-package control
+package replica
 
 import (
 	"context"
@@ -18,20 +18,33 @@
 	if err != nil {
 		return nil, err
 	}
+	moved, err := barrier(ctx, l.group)
+	if err != nil {
+		return nil, err
+	}
+	if moved {
+		return &control.QueryReply{Routing: h.routing(in.Group)}, nil
+	}
+	return l.answer(in)
+}
+
+// barrier waits until the group's state reflects all commands that were
+// committed before the call. moved reports that this host does not lead it.
+func barrier(ctx context.Context, g *raft.Group) (moved bool, err error) {
 	done := make(chan error, 1)
-	l.group.Read(func(err error) { done <- err })
+	g.Read(func(err error) { done <- err })
 	select {
 	case err = <-done:
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
 	if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrStopped) {
-		return &control.QueryReply{Routing: h.routing(in.Group)}, nil
+		return true, nil
 	}
 	if err != nil {
-		return nil, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "read of group %d: %v", in.Group, err)
+		return false, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "read of group %d: %v", g.ID, err)
 	}
-	return l.answer(in)
+	return false, nil
 }
 
 func (l *leadership) answer(in *control.Query) (*control.QueryReply, error) {
@@ -49,6 +62,10 @@
 		r.Page, err = m.Input(in.Input.ID, in.Workspace, in.Input.Index, min(in.Input.MaxBytes, maxPageBytes))
 	case in.Output != nil:
 		r.Page, err = m.Output(in.Output.ID, in.Workspace, in.Output.Index, min(in.Output.MaxBytes, maxPageBytes))
+	case in.Results != nil:
+		r.Results, err = m.Results(in.Results.ID, in.Workspace, in.Results.Index, min(in.Results.MaxBytes, maxPageBytes))
+	case in.Item != nil:
+		r.Line, err = m.Item(in.Item.Job, in.Workspace, in.Item.Item)
 	case in.Burn:
 		r.Burn = l.machine.Burn.Counts()
 	default:
@@ -58,13 +75,28 @@
 }
 
 // Current implements configuration.Source.
-func (h *Host) Current() *config.Config { return h.fleet.Current() }
+func (h *Host) Current() *config.Config {
+	if h.Store {
+		return h.watcher.Current()
+	}
+	return h.fleet.Current()
+}
 
 // Fresh implements configuration.Source.
-func (h *Host) Fresh() time.Time { return h.groups[control.FleetGroup].Status().FreshAt }
+func (h *Host) Fresh() time.Time {
+	if h.Store {
+		return h.watcher.Fresh()
+	}
+	return h.groups[control.FleetGroup].Status().FreshAt
+}
 
 // Since implements configuration.Source.
-func (h *Host) Since(version uint64) ([]rhubarbgate.Bundle, bool) { return h.fleet.Since(version) }
+func (h *Host) Since(version uint64) ([]rhubarbgate.Bundle, bool) {
+	if h.Store {
+		return h.watcher.Since(version)
+	}
+	return h.fleet.Since(version)
+}
 
 // Changed implements configuration.Source.
 func (h *Host) Changed() <-chan struct{} { return h.notifier.Wait() }
--- a/internal/role/control/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -1,4 +1,4 @@
-package control
+package replica
 
 import (
 	"context"
@@ -25,7 +25,7 @@
 	maxPageBytes = 1 << 20
 )
 
-func (h *Host) register(m *wire.Mux) {
+func (h *Host) methods(m *wire.Mux) {
 	peer.Register(m, h.receive)
 	configuration.Register(m, h, h.Clock)
 	anyone := append([]wire.Role{wire.RoleOperator}, wire.Daemons...)
@@ -38,12 +38,17 @@
 	wire.Unary(m, control.MethodLease, wire.Sides, h.lease)
 	wire.Unary(m, control.MethodRenew, wire.Sides, h.renew)
 	wire.Unary(m, control.MethodQuery, readers, h.query)
-	wire.Unary(m, control.MethodCommit, wire.Operators, h.commit)
+	if !h.Store {
+		wire.Unary(m, control.MethodCommit, wire.Operators, h.commit)
+		wire.Unary(m, control.MethodRegister, wire.Controls, h.registered)
+		wire.Unary(m, control.MethodDocument, wire.Operators, h.document)
+		wire.Unary(m, control.MethodRetire, wire.Operators, h.retire)
+	}
 	wire.Unary(m, control.MethodMember, wire.Operators, h.member)
 }
 
 func (h *Host) receive(m raft.Message) {
-	if int(m.Group) < len(h.groups) {
+	if int(m.Group) < len(h.groups) && h.groups[m.Group] != nil {
 		h.groups[m.Group].Receive(m)
 	}
 }
@@ -270,7 +275,7 @@
 
 // member changes the membership of one group.
 func (h *Host) member(ctx context.Context, in *control.Member) (*control.MemberReply, error) {
-	if int(in.Group) >= len(h.groups) {
+	if int(in.Group) >= len(h.groups) || h.groups[in.Group] == nil {
 		return nil, rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "no group %d", in.Group)
 	}
 	done := make(chan raft.Result, 1)
@@ -308,7 +313,7 @@
 func (h *Host) Status() *control.StatusReply {
 	r := &control.StatusReply{ID: h.ID, Address: h.Listen, Version: h.Current().Version}
 	r.Age = h.Clock.Now().Sub(h.Fresh()).Round(time.Millisecond)
-	for _, g := range h.groups {
+	for g := range h.running() {
 		r.Groups = append(r.Groups, g.Status())
 	}
 	return r
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -18,6 +18,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
@@ -56,6 +57,8 @@
 	// FirstCome replaces the gate by the baseline.
 	FirstCome bool
 	TLS       *tls.Config
+	// Dialer opens connections to the fleet's processes; nil means the default.
+	Dialer *net.Dialer
 	// Traffic counts the bytes between the fleet's processes, if set.
 	Traffic *wire.Traffic
 	Clock   clockwork.Clock
@@ -66,6 +69,15 @@
 	MaxAge time.Duration
 	// Grace is how long a leaving side waits for its work.
 	Grace time.Duration
+	// Probe asks the target for its load. With it, online requests do not pass
+	// this side, the gate goes by the probe, and items come from store hosts.
+	Probe rhubarbgate.EngineProbe
+	// Dialect is how items are sent if Probe is set.
+	Dialect rhubarbgate.Dialect
+	// Targets lists the targets of the platform if Probe is set.
+	Targets *discovery.Table
+	// Service is the service that the target belongs to if Probe is set.
+	Service string
 	// Lag is how long a leaving side keeps listening for entries that do not know yet.
 	Lag time.Duration
 
@@ -109,6 +121,9 @@
 	h.open()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	if h.Probe != nil {
+		return h.runBeside(ctx, work)
+	}
 	mux := wire.NewMux()
 	wire.Streamed(mux, side.MethodRun, wire.Entries, h.run)
 	wire.Streamed(mux, side.MethodReport, wire.Entries, h.report)
@@ -138,22 +153,32 @@
 
 func (h *Host) open() {
 	h.wire = wire.NewClient(h.TLS)
+	h.wire.Dialer = h.Dialer
 	h.wire.Traffic = h.Traffic
 	h.control = &control.Client{Wire: h.wire, Hosts: h.Control, Clock: h.Clock}
+	if h.Probe != nil {
+		h.control.Hosts = nil
+	}
 	h.counts = newCounters(h.Metrics)
 	failures := new(expvar.Int)
 	h.Metrics.Set("ConfigPollFailures", failures)
 	h.watcher = &configuration.Watcher{
 		Wire: h.wire, Parents: h.Parents, Clock: h.Clock, Random: h.Random, Logger: h.Logger, Failures: failures,
 	}
+	if h.Probe != nil {
+		h.watcher.Met = func(p control.Peers) { h.control.Update(p.Stores) }
+	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
 	h.keeper = &gatekeeper.Gatekeeper{Clock: h.Clock, Gate: h.gate(), Yielded: h.counts.noteYield}
 	h.keeper.Start()
-	h.engine = &target.Client{Address: h.Target}
+	h.engine = &target.Client{Address: h.Target, Dialer: h.Dialer, CloseEnds: h.Probe != nil}
 	h.worker = newWorker(h)
 }
 
 func (h *Host) gate() rhubarbgate.Gate {
+	if h.Probe != nil {
+		return &gate.Yielding{Clock: h.Clock, Slots: h.Slots, Headroom: headroom}
+	}
 	if h.FirstCome {
 		return &gate.FirstCome{Clock: h.Clock, Slots: h.Slots}
 	}
@@ -207,6 +232,9 @@
 
 // isLeaving reports whether the side or, by configuration, its target leaves.
 func (h *Host) isLeaving() bool {
+	if h.Probe != nil {
+		return h.leaving.Load() || !h.usable()
+	}
 	return h.leaving.Load() || h.watcher.Current().Targets[h.Name].Leaving
 }
 
--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -60,13 +60,17 @@
 		call, cancel := context.WithTimeout(context.Background(), returnTimeout)
 		defer cancel()
 		// A return that is lost only costs the time until the lease ends.
-		_, _ = w.host.control.Jobs(call, t.group, jobs.Command{Return: &jobs.Return{Items: []jobs.ItemRef{t.grant.Ref}}})
+		back := &jobs.Return{Items: []jobs.ItemRef{t.grant.Ref}, Progress: [][]byte{t.output.encode()}}
+		_, _ = w.host.control.Jobs(call, t.group, jobs.Command{Return: back})
 	})
 }
 
 // attempt runs the item; again says that it was preempted and may go on later.
 func (w *worker) attempt(t *task, p *gatekeeper.Place) (o jobs.Outcome, again bool) {
 	o.Ref = t.grant.Ref
+	if w.host.Probe != nil {
+		return w.attemptStream(t, p)
+	}
 	var in jobs.InputLine
 	if err := json.Unmarshal(t.grant.Line, &in); err != nil {
 		o.Message, o.Permanent = err.Error(), true
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -60,6 +60,8 @@
 	// place is set while the task runs.
 	place   *gatekeeper.Place
 	partial partial
+	// output is what the item has produced so far, with a Probe.
+	output output
 }
 
 type groupOutcome struct {
@@ -150,11 +152,17 @@
 	if room <= 0 {
 		return 0
 	}
+	if w.host.Probe != nil {
+		return max(0, room-len(w.ready))
+	}
 	return max(0, room+spare-len(w.ready))
 }
 
 // needs lists the models and routes of the target for which items are pending.
 func (w *worker) needs() []string {
+	if w.host.Probe != nil {
+		return w.host.jobRoutes()
+	}
 	backlog := w.host.watcher.Backlog()
 	if len(backlog) == 0 {
 		return nil
@@ -174,7 +182,7 @@
 
 // fetch leases up to n items from the groups, beginning with a random one.
 func (w *worker) fetch(ctx context.Context, n int) int {
-	groups := w.host.watcher.Groups()
+	groups := w.host.groups()
 	needs := w.needs()
 	if groups == 0 || len(needs) == 0 {
 		return 0
@@ -206,6 +214,7 @@
 func (w *worker) add(g jobs.Grant, group uint32, until time.Time) {
 	t := &task{grant: g, group: group, until: until}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.output = decodeOutput(g.Progress)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.held[g.Ref] = t
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -26,7 +26,7 @@
 // call is tried until its context ends.
 type Client struct {
 	Wire *wire.Client
-	// Hosts are the control hosts.
+	// Hosts are those that replicate the groups; Update replaces them.
 	Hosts []netip.AddrPort
 	Clock clockwork.Clock
 
@@ -46,10 +46,23 @@
 	if a, ok := c.leaders[group]; ok {
 		return a
 	}
+	if len(c.Hosts) == 0 {
+		return netip.AddrPort{}
+	}
 	c.next++
 	return c.Hosts[c.next%len(c.Hosts)]
 }
 
+// Update replaces the hosts; an empty list changes nothing.
+func (c *Client) Update(hosts []netip.AddrPort) {
+	if len(hosts) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Hosts = hosts
+}
+
 func (c *Client) learn(group uint32, a netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,6 +84,9 @@
 	verdict := rhubarbgate.NotRun
 	for {
 		a := c.target(group)
+		if !a.IsValid() {
+			return nil, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, verdict, "no host of group %d is known yet", group).After(time.Second)
+		}
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		out, err := wire.Call[Out](attempt, c.Wire, a, method, in)
 		cancel()
@@ -184,3 +200,22 @@
 func (c *Client) SayHello(ctx context.Context, a netip.AddrPort) (*HelloReply, error) {
 	return wire.Call[HelloReply](ctx, c.Wire, a, MethodHello, &Hello{})
 }
+
+// Register tells the leader of the fleet group that a host is alive.
+func (c *Client) Register(ctx context.Context, in *Register) (*RegisterReply, error) {
+	return call[RegisterReply](ctx, c, FleetGroup, MethodRegister, in)
+}
+
+// Document returns the newest configuration as its operator sent it.
+func (c *Client) Document(ctx context.Context) (*DocumentReply, error) {
+	return call[DocumentReply](ctx, c, FleetGroup, MethodDocument, &Document{})
+}
+
+// Retire asks that a store host gives its replicas away, or how far that is.
+func (c *Client) Retire(ctx context.Context, in *Retire) (*RetireReply, error) {
+	r, err := call[RetireReply](ctx, c, FleetGroup, MethodRetire, in)
+	if err == nil && r.Err != nil {
+		return nil, r.Err
+	}
+	return r, err
+}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -28,6 +28,10 @@
 	MethodCommit  = "/control/Commit"
 	MethodMember  = "/control/Member"
 	MethodStatus  = "/control/Status"
+
+	MethodRegister = "/control/Register"
+	MethodDocument = "/control/Document"
+	MethodRetire   = "/control/Retire"
 )
 
 // FleetGroup is the group that holds the configuration.
@@ -75,6 +79,69 @@
 	// Backlog lists the models and routes that pending batch items need, so that
 	// sides need not ask for leases in vain.
 	Backlog []string `msgpack:",omitempty"`
+	Peers   Peers    `msgpack:",omitempty"`
+}
+
+// Peers are the hosts that keep replicated state, as the answering host knows them.
+type Peers struct {
+	Controls []netip.AddrPort
+	Stores   []netip.AddrPort
+	// StoreGroups is the number of job groups of the store hosts, 0 while there
+	// are none.
+	StoreGroups int
+}
+
+// Register tells the leader of the fleet group that a host is alive.
+type Register struct {
+	Host fleet.HostRecord
+	// Leads are the memberships of the groups that the host leads.
+	Leads []GroupMembers
+}
+
+// GroupMembers is the membership of a job group as its leader knows it.
+type GroupMembers struct {
+	Group   uint32
+	Term    uint64
+	Members raft.Members
+}
+
+// RegisterReply lists the hosts.
+type RegisterReply struct {
+	Routing
+	Hosts []HostState
+	// First is the membership that the job groups begin with, once it is known.
+	First *fleet.FirstStores
+}
+
+// HostState is a host with what the leader last heard of it.
+type HostState struct {
+	Record fleet.HostRecord
+	Silent time.Duration
+}
+
+// Document asks for the configuration as its operator sent it.
+type Document struct{}
+
+// DocumentReply is the newest configuration at the time of the call.
+type DocumentReply struct {
+	Routing
+	Version  uint64
+	Document []byte
+}
+
+// Retire asks that a store host gives its replicas away or, with Query, how far
+// that is.
+type Retire struct {
+	Name  string
+	Query bool
+}
+
+// RetireReply is the outcome.
+type RetireReply struct {
+	Routing
+	Err *rhubarbgate.Error
+	// Done says that the host holds no replica any more.
+	Done bool
 }
 
 // Routing is part of every reply of a group's leader.
@@ -151,8 +218,15 @@
 	Input     *PageQuery
 	Output    *PageQuery
 	Burn      bool
+	// Results asks for the results of a submitted job.
+	Results *PageQuery
+	// Item asks for the input of one of its items.
+	Item *ItemQuery
 }
 
+// ItemQuery names an item of a submitted job.
+type ItemQuery struct{ Job, Item string }
+
 // PageQuery asks for lines of a file or of a job's output.
 type PageQuery struct {
 	ID       string
@@ -168,6 +242,10 @@
 	List []jobs.Job
 	Page *jobs.Page
 	Burn []burn.Count
+	// Results answers a query for results.
+	Results *rhubarbgate.ResultPage
+	// Line is an item's input.
+	Line []byte
 }
 
 // Commit commits a signed bundle.
--- a/internal/rpc/side/message.go
+++ b/internal/rpc/side/message.go
@@ -16,10 +16,7 @@
 )
 
 // Header is one HTTP header that travels with a request or answer.
-type Header struct {
-	Name  string
-	Value string
-}
+type Header = rhubarbgate.Header
 
 // Request is one attempt at an online request. It carries no credential: the
 // side looks the digest of the caller's key up again before it starts the work.
--- a/internal/rpc/wire/client.go
+++ b/internal/rpc/wire/client.go
@@ -34,6 +34,8 @@
 	TLS *tls.Config
 	// Traffic counts bytes, if set.
 	Traffic *Traffic
+	// Dialer opens connections; nil means the default.
+	Dialer *net.Dialer
 
 	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
@@ -56,7 +58,10 @@
 func (c *Client) dial(ctx context.Context, a netip.AddrPort) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := c.Dialer
+	if d == nil {
+		d = &net.Dialer{}
+	}
 	n, err := d.DialContext(ctx, "tcp", a.String())
 	if err != nil {
 		return nil, &dialError{err}
--- a/internal/rpc/wire/traffic.go
+++ b/internal/rpc/wire/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net"
+	"syscall"
 )
 
 // Traffic counts the bytes of a process's connections to other processes of the
@@ -45,6 +46,15 @@
 	return &countedConn{c, t}
 }
 
+// Raw returns the connection below the counting, if it has a descriptor.
+func Raw(c net.Conn) (syscall.Conn, bool) {
+	if x, ok := c.(*countedConn); ok {
+		c = x.Conn
+	}
+	s, ok := c.(syscall.Conn)
+	return s, ok
+}
+
 type countedConn struct {
 	net.Conn
 	traffic *Traffic
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -2,9 +2,11 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,6 +24,10 @@
 	Models     map[string]rhubarbgate.Model
 	Targets    map[string]rhubarbgate.Target
 	Objectives map[string]rhubarbgate.Objective
+	Services   map[string]rhubarbgate.Service
+	Limits     *rhubarbgate.CallerLimits
+	// paths are the routes that have a Path, by host, the longest prefix first.
+	paths map[string][]rhubarbgate.Route
 	// Sum is a checksum over all objects that does not depend on their order.
 	Sum uint64
 }
@@ -35,11 +41,15 @@
 		Models:     map[string]rhubarbgate.Model{},
 		Targets:    map[string]rhubarbgate.Target{},
 		Objectives: map[string]rhubarbgate.Objective{},
+		Services:   map[string]rhubarbgate.Service{},
 	}
 }
 
 // With returns the configuration after bundle b. It validates b first.
 func (c *Config) With(b *rhubarbgate.Bundle) (*Config, error) {
+	if b.Whole {
+		return c.replacedBy(b)
+	}
 	if b.Base != c.Version || b.Version != b.Base+1 {
 		return nil, rhubarbgate.Errorf(rhubarbgate.CodeConflict, rhubarbgate.NotRun,
 			"bundle %d is based on version %d, but version %d is in force", b.Version, b.Base, c.Version)
@@ -54,6 +64,44 @@
 	return &n, nil
 }
 
+// replacedBy returns the configuration that a whole bundle holds.
+func (c *Config) replacedBy(b *rhubarbgate.Bundle) (*Config, error) {
+	if b.Version <= c.Version {
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeConflict, rhubarbgate.NotRun,
+			"configuration %d is not newer than version %d, which is in force", b.Version, c.Version)
+	}
+	if err := ValidateWhole(b); err != nil {
+		return nil, err
+	}
+	return FromSection(b.Version, Digest(b), b.Put), nil
+}
+
+// Route returns the route with the longest prefix that begins the path.
+func (c *Config) Route(host, path string) (rhubarbgate.Route, bool) {
+	for _, r := range c.paths[host] {
+		if strings.HasPrefix(path, r.Path.Prefix) {
+			return r, true
+		}
+	}
+	return rhubarbgate.Route{}, false
+}
+
+// Paths returns the routes of a host, the longest prefix first.
+func (c *Config) Paths(host string) []rhubarbgate.Route { return c.paths[host] }
+
+// indexPaths sorts the routes that have a Path for Route.
+func (c *Config) indexPaths() {
+	c.paths = map[string][]rhubarbgate.Route{}
+	for _, r := range c.Routes {
+		if r.Path.Host != "" {
+			c.paths[r.Path.Host] = append(c.paths[r.Path.Host], r)
+		}
+	}
+	for _, l := range c.paths {
+		slices.SortFunc(l, func(a, b rhubarbgate.Route) int { return cmp.Compare(len(b.Path.Prefix), len(a.Path.Prefix)) })
+	}
+}
+
 func (c *Config) change(b *rhubarbgate.Bundle) {
 	c.Workspaces = merge(c, "w", c.Workspaces, b.Put.Workspaces, b.Remove.Workspaces, func(x rhubarbgate.Workspace) string { return x.Name })
 	c.Keys = merge(c, "k", c.Keys, b.Put.Keys, b.Remove.Keys, func(x rhubarbgate.Key) string { return x.Digest })
@@ -61,6 +109,12 @@
 	c.Models = merge(c, "m", c.Models, b.Put.Models, b.Remove.Models, func(x rhubarbgate.Model) string { return x.Name })
 	c.Targets = merge(c, "t", c.Targets, b.Put.Targets, b.Remove.Targets, func(x rhubarbgate.Target) string { return x.Name })
 	c.Objectives = merge(c, "o", c.Objectives, b.Put.Objectives, b.Remove.Objectives, func(x rhubarbgate.Objective) string { return x.Name })
+	c.Services = merge(c, "s", c.Services, b.Put.Services, nil, func(x rhubarbgate.Service) string { return x.Name })
+	if b.Put.Limits != nil {
+		c.Limits = b.Put.Limits
+		c.Sum ^= objectSum("l", b.Put.Limits)
+	}
+	c.indexPaths()
 }
 
 // merge returns a copy of m with the objects of put and without those of remove,
@@ -105,6 +159,8 @@
 		Models:     sorted(c.Models),
 		Targets:    sorted(c.Targets),
 		Objectives: sorted(c.Objectives),
+		Services:   sorted(c.Services),
+		Limits:     c.Limits,
 	}
 }
 
--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -20,9 +20,13 @@
 	keptDigests = 65536
 )
 
-// Command is one log entry.
+// Command is one log entry; one field is set.
 type Command struct {
 	Bundle *rhubarbgate.Bundle
+	Host   *HostRecord  `msgpack:",omitempty"`
+	Drop   uint64       `msgpack:",omitempty"`
+	Retire *RetireHost  `msgpack:",omitempty"`
+	First  *FirstStores `msgpack:",omitempty"`
 }
 
 // Committed is the result of a bundle's commit.
@@ -30,7 +34,10 @@
 	Err *rhubarbgate.Error
 	// Repeated says that the bundle was committed before.
 	Repeated bool
-	Version  uint64
+	// Overtaken says that the whole bundle changed nothing, since its version is
+	// not above the one in force.
+	Overtaken bool
+	Version   uint64
 }
 
 // Machine implements rhubarbgate.StateMachine.
@@ -50,6 +57,10 @@
 	Section rhubarbgate.Section
 	Bundles []rhubarbgate.Bundle
 	Digests [][]byte // of the versions up to Version, the newest last
+	// Document is that of the newest whole bundle.
+	Document []byte
+	Hosts    []HostRecord
+	First    *FirstStores
 }
 
 var _ rhubarbgate.StateMachine = (*Machine)(nil)
@@ -60,20 +71,36 @@
 // Apply implements rhubarbgate.StateMachine; its result is a *Committed.
 func (m *Machine) Apply(_ uint64, data []byte) any {
 	var c Command
-	if err := wire.Unmarshal(data, &c); err != nil || c.Bundle == nil {
-		return &Committed{Err: rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "command without a bundle")}
+	if err := wire.Unmarshal(data, &c); err != nil {
+		return &Committed{Err: rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "%v", err)}
 	}
-	r, changed := m.commit(c.Bundle)
-	if changed && m.Changed != nil {
-		m.Changed(m.Current())
+	switch {
+	case c.Bundle != nil:
+		r, changed := m.commit(c.Bundle)
+		if changed && m.Changed != nil {
+			m.Changed(m.Current())
+		}
+		return r
+	case c.Host != nil:
+		return m.putHost(*c.Host)
+	case c.Drop != 0:
+		return m.dropHost(c.Drop)
+	case c.Retire != nil:
+		return m.retire(c.Retire)
+	case c.First != nil:
+		return m.begin(c.First)
+	default:
+		return &Committed{Err: rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "empty command")}
 	}
-	return r
 }
 
 func (m *Machine) commit(b *rhubarbgate.Bundle) (*Committed, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if b.Version <= m.current.Version {
+		if b.Whole {
+			return m.overtaken(b), false
+		}
 		return m.repeated(b), false
 	}
 	next, err := m.current.With(b)
@@ -81,11 +108,24 @@
 		return &Committed{Err: rhubarbgate.AsError(err), Version: m.current.Version}, false
 	}
 	m.current = next
+	if b.Whole {
+		m.state.Bundles, m.state.Digests, m.state.Document = nil, [][]byte{next.Digest}, b.Document
+		return &Committed{Version: next.Version}, true
+	}
+	m.state.Document = nil
 	m.state.Bundles = keep(append(m.state.Bundles, *b), keptBundles)
 	m.state.Digests = keep(append(m.state.Digests, next.Digest), keptDigests)
 	return &Committed{Version: next.Version}, true
 }
 
+// overtaken answers a whole bundle that is not newer than the version in force.
+func (m *Machine) overtaken(b *rhubarbgate.Bundle) *Committed {
+	r := &Committed{Version: m.current.Version}
+	r.Repeated = b.Version == m.current.Version && bytes.Equal(config.Digest(b), m.current.Digest)
+	r.Overtaken = !r.Repeated
+	return r
+}
+
 // repeated answers a bundle whose version is taken: by itself or by another.
 func (m *Machine) repeated(b *rhubarbgate.Bundle) *Committed {
 	d := config.Digest(b)
--- a/internal/state/jobs/command.go
+++ b/internal/state/jobs/command.go
@@ -54,6 +54,8 @@
 
 // ItemInput is one accepted line of a file.
 type ItemInput struct {
+	// ID names the item within a submitted job; items of files have none.
+	ID string `msgpack:",omitempty"`
 	// Needs is the model or, with the prefix "/services/", the route.
 	Needs      string
 	Idempotent bool
@@ -90,6 +92,8 @@
 	DropFile   *DropFile
 	CreateJob  *CreateJob
 	CancelJob  *CancelJob
+	Submit     *Submit
+	GiveUp     *GiveUp
 	Lease      *Lease
 	Start      *Start
 	Return     *Return
@@ -141,6 +145,22 @@
 	Digest    []byte
 }
 
+// Submit starts a job together with its items. A repeated one changes nothing.
+type Submit struct {
+	ID        string
+	Workspace string
+	// Window is the time until the results are due.
+	Window time.Duration
+	// Retention is the time after which items may be given up.
+	Retention time.Duration
+	// Attempts is how many answers of failure an item may get.
+	Attempts int
+	Items    []ItemInput
+}
+
+// GiveUp fails the items of a job that have not ended.
+type GiveUp struct{ Job string }
+
 // CancelJob ends a job.
 type CancelJob struct {
 	Job       string
@@ -157,7 +177,12 @@
 type Start struct{ Items []ItemRef }
 
 // Return gives items back that never reached a target, or were preempted.
-type Return struct{ Items []ItemRef }
+type Return struct {
+	Items []ItemRef
+	// Progress is what the attempts produced so far, in the order of Items; it may
+	// be shorter.
+	Progress [][]byte `msgpack:",omitempty"`
+}
 
 // Complete reports the outcomes of attempts.
 type Complete struct{ Outcomes []Outcome }
@@ -188,6 +213,8 @@
 	Idempotent bool
 	Due        time.Time
 	Line       []byte
+	// Progress is what an earlier attempt produced.
+	Progress []byte `msgpack:",omitempty"`
 }
 
 // File describes an uploaded file.
@@ -221,4 +248,8 @@
 	Due       time.Time
 	Ended     time.Time
 	Counts    Counts
+	// Attempts is set on submitted jobs: how many answers of failure an item may get.
+	Attempts int `msgpack:",omitempty"`
+	// Retain is until when the items of a submitted job are tried.
+	Retain time.Time `msgpack:",omitempty"`
 }
--- a/internal/state/jobs/items.go
+++ b/internal/state/jobs/items.go
@@ -39,6 +39,7 @@
 		j.waiting[in.needs]--
 		r.Granted = append(r.Granted, Grant{
 			Ref: ref, Workspace: j.Workspace, Needs: j.input.needs[in.needs], Idempotent: in.idempotent, Due: j.Due,
+			Progress: j.progress[int32(ref.Index)],
 		})
 	}
 	return r
@@ -72,11 +73,21 @@
 		if j, x := m.liveItem(ref); x != nil {
 			r.Accepted[i] = true
 			m.requeue(j, ref.Index)
+			if i < len(c.Progress) && len(c.Progress[i]) > 0 {
+				j.keepProgress(ref.Index, c.Progress[i])
+			}
 		}
 	}
 	return r
 }
 
+func (j *job) keepProgress(i int, progress []byte) {
+	if j.progress == nil {
+		j.progress = map[int32][]byte{}
+	}
+	j.progress[int32(i)] = progress
+}
+
 // requeue makes a leased item pending again.
 func (m *Machine) requeue(j *job, i int) {
 	x := &j.items[i]
@@ -113,10 +124,15 @@
 	x := &j.items[o.Ref.Index]
 	idempotent := j.input.inputs[o.Ref.Index].idempotent
 	mayRepeat := idempotent || o.Verdict == rhubarbgate.NotRun
-	if o.Verdict != rhubarbgate.NotRun || o.Permanent {
+	limit, counts := MaxAttempts, o.Verdict != rhubarbgate.NotRun
+	if j.Attempts > 0 {
+		// Only answers of failure count for submitted jobs.
+		limit, counts = j.Attempts, o.Verdict == rhubarbgate.Ran
+	}
+	if counts || o.Permanent {
 		x.failures++
 	}
-	if mayRepeat && !o.Permanent && x.failures < MaxAttempts {
+	if mayRepeat && !o.Permanent && int(x.failures) < limit {
 		m.requeue(j, o.Ref.Index)
 		return
 	}
@@ -164,6 +180,9 @@
 }
 
 func failureLine(j *job, o Outcome) []byte {
+	if j.Attempts > 0 {
+		return nil
+	}
 	var in InputLine
 	if b, err := j.input.inputs[o.Ref.Index].line.Read(); err == nil {
 		// The line was checked when it was accepted.
--- a/internal/state/jobs/machine.go
+++ b/internal/state/jobs/machine.go
@@ -39,6 +39,8 @@
 	File
 	inputs []input
 	needs  []string // interned values of input.needs
+	// ids are the names of a submitted job's items.
+	ids []string
 }
 
 // input is one line of a file.
@@ -60,6 +62,12 @@
 	pending map[uint16][]int32
 	// live counts items that are not terminal.
 	live int
+	// results are the items that are done or failed, in the order in which they
+	// ended.
+	results []int32
+	// progress is what unfinished items have produced so far. It is a hint that
+	// snapshots leave out.
+	progress map[int32][]byte
 }
 
 // item is the progress of one line.
@@ -109,6 +117,10 @@
 		return m.createJob(c.At, c.CreateJob)
 	case c.CancelJob != nil:
 		return m.cancelJob(c.At, c.CancelJob)
+	case c.Submit != nil:
+		return m.submit(c.At, c.Submit)
+	case c.GiveUp != nil:
+		return m.giveUp(c.At, c.GiveUp)
 	case c.Lease != nil:
 		return m.lease(c.Lease)
 	case c.Start != nil:
@@ -260,11 +272,14 @@
 	x.state = s
 	j.live--
 	m.terminal++
+	delete(j.progress, int32(i))
 	switch s {
 	case Done:
 		j.Counts.Done++
+		j.results = append(j.results, int32(i))
 	case Failed:
 		j.Counts.Failed++
+		j.results = append(j.results, int32(i))
 	default:
 		j.Counts.Cancelled++
 	}
--- a/internal/state/jobs/snapshot.go
+++ b/internal/state/jobs/snapshot.go
@@ -33,11 +33,13 @@
 	File   File
 	Needs  []string
 	Inputs int
+	IDs    []string
 }
 
 type jobRecord struct {
-	Job   Job
-	Items int
+	Job     Job
+	Items   int
+	Results []int32
 }
 
 const (
@@ -63,11 +65,12 @@
 	for _, id := range slices.Sorted(maps.Keys(m.files)) {
 		f := *m.files[id]
 		f.needs = slices.Clone(f.needs)
+		f.ids = slices.Clone(f.ids)
 		w.files = append(w.files, &f)
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		j := *m.jobs[id]
-		j.items = slices.Clone(j.items)
+		j.items, j.results = slices.Clone(j.items), slices.Clone(j.results)
 		w.jobs = append(w.jobs, &j)
 	}
 	w.header.Files, w.header.Jobs = len(w.files), len(w.jobs)
@@ -108,7 +111,7 @@
 }
 
 func writeFile(out io.Writer, f *file) error {
-	if err := writeRecord(out, &fileRecord{File: f.File, Needs: f.needs, Inputs: len(f.inputs)}); err != nil {
+	if err := writeRecord(out, &fileRecord{File: f.File, Needs: f.needs, Inputs: len(f.inputs), IDs: f.ids}); err != nil {
 		return errors.Trace(err)
 	}
 	for _, x := range f.inputs {
@@ -126,7 +129,7 @@
 }
 
 func writeJob(out io.Writer, j *job) error {
-	if err := writeRecord(out, &jobRecord{Job: j.Job, Items: len(j.items)}); err != nil {
+	if err := writeRecord(out, &jobRecord{Job: j.Job, Items: len(j.items), Results: j.results}); err != nil {
 		return errors.Trace(err)
 	}
 	for _, x := range j.items {
@@ -240,7 +243,7 @@
 	if err := r.record(&d); err != nil {
 		return nil, errors.Trace(err)
 	}
-	f := &file{File: d.File, needs: d.Needs}
+	f := &file{File: d.File, needs: d.Needs, ids: d.IDs}
 	for range d.Inputs {
 		var h [inputHeaderBytes]byte
 		if err := r.full(h[:]); err != nil {
@@ -264,7 +267,7 @@
 	if err := r.record(&d); err != nil {
 		return nil, errors.Trace(err)
 	}
-	j := &job{Job: d.Job, input: files[d.Job.File]}
+	j := &job{Job: d.Job, input: files[d.Job.File], results: d.Results}
 	if j.input == nil || len(j.input.inputs) != d.Items {
 		return nil, errors.NotValidf("job %q without its input", d.Job.ID)
 	}
--- /dev/null
+++ b/internal/state/jobs/submit.go
@@ -0,0 +1,125 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/storage/disk"
+)
+
+// submitPrefix names the hidden file that holds a submitted job's items.
+const submitPrefix = "submitted-"
+
+// submit creates a job with its items in one command.
+func (m *Machine) submit(at time.Time, c *Submit) *Result {
+	if j := m.jobs[c.ID]; j != nil {
+		if j.Workspace != c.Workspace {
+			return fail(rhubarbgate.CodeConflict, "batch %q exists", c.ID)
+		}
+		return m.describe(c.ID)
+	}
+	if len(c.Items) == 0 || len(c.Items) > MaxItems {
+		return fail(rhubarbgate.CodeInvalid, "batch %q has %d items", c.ID, len(c.Items))
+	}
+	id := submitPrefix + c.ID
+	m.createFile(at, &CreateFile{ID: id, Workspace: c.Workspace, Name: c.ID})
+	if r := m.append(&Append{File: id, Workspace: c.Workspace, Items: c.Items}); r.Err != nil {
+		return r
+	}
+	f := m.files[id]
+	f.State = Ready
+	for _, x := range c.Items {
+		f.ids = append(f.ids, x.ID)
+	}
+	r := m.createJob(at, &CreateJob{ID: c.ID, Workspace: c.Workspace, File: id, Window: c.Window})
+	if j := m.jobs[c.ID]; j != nil {
+		j.Attempts, j.Retain = max(c.Attempts, 1), at.Add(c.Retention)
+		return m.describe(c.ID)
+	}
+	return r
+}
+
+// giveUp fails the items of a job that have not ended.
+func (m *Machine) giveUp(at time.Time, c *GiveUp) *Result {
+	j, r := m.findJob(c.Job, "")
+	if r != nil {
+		return r
+	}
+	for i := range j.items {
+		if !j.items[i].state.Terminal() {
+			m.finishItem(j, i, Failed, nil)
+		}
+	}
+	j.endIfEmpty(at)
+	return m.describe(c.Job)
+}
+
+// Outdated returns the running jobs whose retention ended before a time.
+func (m *Machine) Outdated(before time.Time) []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var r []string
+	for id, j := range m.jobs {
+		if j.State == Running && j.Attempts > 0 && j.Retain.Before(before) {
+			r = append(r, id)
+		}
+	}
+	slices.Sort(r)
+	return r
+}
+
+// Results returns the results at position after and behind, up to maxBytes but
+// at least one if there is one. A result keeps its position.
+func (m *Machine) Results(id, workspace string, after, maxBytes int) (*rhubarbgate.ResultPage, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	j, r := m.findJob(id, workspace)
+	if r != nil {
+		return nil, r.Err
+	}
+	if after < 0 || len(j.input.ids) != len(j.items) {
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "batch %q has no position %d", id, after)
+	}
+	p := &rhubarbgate.ResultPage{Total: len(j.items), Next: after}
+	size := 0
+	for ; p.Next < len(j.results); p.Next++ {
+		i := j.results[p.Next]
+		x := rhubarbgate.JobResult{ID: j.input.ids[i], Done: j.items[i].state == Done}
+		size += j.items[i].output.Size()
+		if len(p.Results) > 0 && size > maxBytes {
+			break
+		}
+		var err error
+		if x.Output, err = j.items[i].output.Read(); err != nil {
+			return nil, errors.Trace(err)
+		}
+		p.Results = append(p.Results, x)
+	}
+	return p, nil
+}
+
+// Item returns the input line of a submitted job's item.
+func (m *Machine) Item(id, workspace, item string) ([]byte, error) {
+	ref, err := m.itemLine(id, workspace, item)
+	if err != nil {
+		return nil, err
+	}
+	return ref.Read()
+}
+
+func (m *Machine) itemLine(id, workspace, item string) (disk.Ref, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	j, r := m.findJob(id, workspace)
+	if r != nil {
+		return disk.Ref{}, r.Err
+	}
+	i := slices.Index(j.input.ids, item)
+	if i < 0 {
+		return disk.Ref{}, rhubarbgate.Errorf(rhubarbgate.CodeNotFound, rhubarbgate.NotRun, "batch %q has no item %q", id, item)
+	}
+	return j.input.inputs[i].line, nil
+}
--- a/internal/storage/disk/identity.go
+++ b/internal/storage/disk/identity.go
@@ -20,8 +20,8 @@
 	Incarnation uint64
 }
 
-// LoadIdentity reads the identity of the data folder, or creates it. The folder
-// of another replica is refused.
+// LoadIdentity reads the identity of the data folder, or creates it. An id of 0
+// draws one for a new folder; otherwise the folder of another replica is refused.
 func LoadIdentity(dir string, id uint64, random *rand.Rand) (Identity, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return Identity{}, errors.Trace(err)
@@ -29,6 +29,9 @@
 	path := filepath.Join(dir, identityFile)
 	b, err := os.ReadFile(path)
 	if os.IsNotExist(err) {
+		if id == 0 {
+			id = random.Uint64()
+		}
 		return createIdentity(path, Identity{ID: id, Incarnation: random.Uint64()})
 	}
 	if err != nil {
@@ -42,7 +45,7 @@
 	if err := wire.Unmarshal(payload, &x); err != nil {
 		return Identity{}, errors.Annotate(raft.ErrCorrupt, path)
 	}
-	if x.ID != id {
+	if id != 0 && x.ID != id {
 		return Identity{}, errors.NotValidf("data folder of replica %d for replica %d", x.ID, id)
 	}
 	return x, nil
--- a/picker.go
+++ b/picker.go
@@ -17,6 +17,8 @@
 	Inflight int
 	// Reported counts requests at the target as of its last report.
 	Reported int
+	// Queued counts those that waited for a slot then.
+	Queued int
 	// Wait is the target's own estimate of the time that a new request queues.
 	Wait time.Duration
 	// Latency is this entry's moving average of the time to the first byte.
