Side: wake for room only when there is some

Cause: the gatekeeper signalled room after every decision, also after it had refused the item that waited, so the lease loop spun (0.22 cores a side) and the probes of the target's load came late. Ruled out: slow leases (4 groups answered at once).

--- a/internal/controller/gatekeeper/gatekeeper.go
+++ b/internal/controller/gatekeeper/gatekeeper.go
@@ -101,7 +101,7 @@
 			k.stopped[id] = k.Clock.Now()
 		}
 	}
-	if len(k.waiting) == 0 {
+	if len(k.waiting) == 0 && k.Gate.BatchRoom() > 0 {
 		select {
 		case k.room <- struct{}{}:
 		default:
