Limits: a new owner trusts the record that earlier grants have run out

Cause: after a restart of all replicas nobody knew when the predecessor had begun, so the new owner granted nothing for the life of a grant; callers that came back meanwhile were refused again. Ruled out: slow elections alone (0.7 s of 4.3 s). Change: a leader commits once a term that grants of earlier owners have run out; a successor of such a term grants half the burst at once, the first owner of all the whole. Tests: TestNewOwnerGrantsAtOnce, the random worlds with restarted owners.

--- a/internal/consensus/raft/core.go
+++ b/internal/consensus/raft/core.go
@@ -73,6 +73,8 @@
 	// predecessorAt is lastTermAt as of the replica's election.
 	predecessorAt time.Time
 	electedAt     time.Time
+	// predecessorTerm is the last term with entries before the replica's own.
+	predecessorTerm uint64
 	transferee    uint64
 	transferAt    time.Time
 
--- a/internal/consensus/raft/election.go
+++ b/internal/consensus/raft/election.go
@@ -102,7 +102,7 @@
 	for _, p := range c.peers {
 		p.acked = now.Add(-c.electionTimeout)
 	}
-	c.predecessorAt = c.lastTermAt
+	c.predecessorAt, c.predecessorTerm = c.lastTermAt, c.entries.lastTerm()
 	c.noopIndex = c.append(EntryNoop, nil)
 	c.tickLeader(now)
 }
--- a/internal/consensus/raft/group.go
+++ b/internal/consensus/raft/group.go
@@ -106,6 +106,9 @@
 	FreshAt time.Time
 	// PredecessorAt is a time by which the leader before this one was elected.
 	PredecessorAt time.Time
+	// PredecessorTerm is the last term with entries before this leader's; 0 means
+	// that this leader is the first.
+	PredecessorTerm uint64
 	// LeaseUntil bounds the leader's lease; zero on other replicas.
 	LeaseUntil time.Time
 }
--- a/internal/consensus/raft/poll.go
+++ b/internal/consensus/raft/poll.go
@@ -275,7 +275,7 @@
 		Group: g.ID, Self: c.id, Phase: c.phase, Term: c.term, Leader: c.leader, Members: c.members,
 		Commit: c.commit, Applied: g.applied, Last: c.entries.last(),
 		LogBytes: c.entries.bytes, Snapshot: c.entries.base.Index,
-		FreshAt: c.freshAt(g.applied), PredecessorAt: c.predecessorAt,
+		FreshAt: c.freshAt(g.applied), PredecessorAt: c.predecessorAt, PredecessorTerm: c.predecessorTerm,
 	}
 	if c.entries.base.Index == 0 {
 		s.First = c.entries.base.Members
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -13,8 +13,12 @@
 	// defaultTimeout bounds a call whose caller and route set no deadline.
 	defaultTimeout = 30 * time.Second
 	// unsureRetry is when a caller may come back to an entry that cannot confirm
-	// its configuration: about a poll and a try at another control host.
-	unsureRetry = 500 * time.Millisecond
+	// its configuration: an election, a poll and an exchange with the owner.
+	unsureRetry = 1200 * time.Millisecond
+	// unsureSpread and blindSpread spread the return of callers that were refused
+	// together.
+	unsureSpread = 300 * time.Millisecond
+	blindSpread  = 200 * time.Millisecond
 	// admitPatience is the longest wait for a token of the rate.
 	admitPatience = 150 * time.Millisecond
 	// admitShare is the part of the time to the deadline that the wait may use.
@@ -27,7 +31,7 @@
 // Handle implements Filter.
 func (f *resolve) Handle(x *Exchange, next Handler) error {
 	if x.Config.Version == 0 {
-		return notRun(rhubarbgate.CodeStale, "no configuration is known yet").After(unsureRetry)
+		return notRun(rhubarbgate.CodeStale, "no configuration is known yet").After(f.server.unsure())
 	}
 	path := string(x.HTTP.RequestURI())
 	path, _, _ = strings.Cut(path, "?")
@@ -73,7 +77,7 @@
 		return next(x)
 	}
 	if f.server.stale() {
-		return notRun(rhubarbgate.CodeStale, "this entry last confirmed its configuration %v ago", f.server.age()).After(unsureRetry)
+		return notRun(rhubarbgate.CodeStale, "this entry last confirmed its configuration %v ago", f.server.age()).After(f.server.unsure())
 	}
 	h := x.HTTP.Request.Header.Peek("Authorization")
 	if len(h) <= len(bearer) || !bytes.EqualFold(h[:len(bearer)], bearer) {
@@ -94,7 +98,7 @@
 		return nil
 	}
 	if s.stale() {
-		return notRun(rhubarbgate.CodeStale, "this entry last confirmed its configuration %v ago", s.age()).After(unsureRetry)
+		return notRun(rhubarbgate.CodeStale, "this entry last confirmed its configuration %v ago", s.age()).After(s.unsure())
 	}
 	if k, ok := s.Source.Current().Keys[x.KeyDigest]; !ok || k.Workspace != x.Workspace {
 		return notRun(rhubarbgate.CodeUnauthorized, "the key was withdrawn")
@@ -102,6 +106,17 @@
 	return nil
 }
 
+// unsure returns when a caller may come back while this entry cannot confirm
+// what it needs of the control hosts.
+func (s *Server) unsure() time.Duration { return unsureRetry + s.jitter(unsureSpread) }
+
+// jitter draws a duration below limit.
+func (s *Server) jitter(limit time.Duration) time.Duration {
+	s.randomMu.Lock()
+	defer s.randomMu.Unlock()
+	return time.Duration(s.Random.Int64N(int64(limit)))
+}
+
 // admit takes a token of the workspace's rate.
 type admit struct{ server *Server }
 
@@ -117,9 +132,12 @@
 	if ok {
 		return next(x)
 	}
+	if blind := s.Holder.OwnerBlind(x.Workspace); blind > 0 {
+		return notRun(rhubarbgate.CodeUnavailable, "the owner of workspace %s's rate is new", x.Workspace).After(blind + s.jitter(blindSpread))
+	}
 	wait = max(wait, time.Duration(float64(time.Second)/max(w.Rate, 1)))
 	if s.Holder.OwnerLost(x.Workspace) {
-		return notRun(rhubarbgate.CodeUnavailable, "the owner of workspace %s's rate cannot be reached", x.Workspace).After(max(wait, unsureRetry))
+		return notRun(rhubarbgate.CodeUnavailable, "the owner of workspace %s's rate cannot be reached", x.Workspace).After(max(wait, s.unsure()))
 	}
 	return notRun(rhubarbgate.CodeRateLimited, "workspace %s is beyond its rate of %g a second", x.Workspace, w.Rate).After(wait)
 }
--- a/internal/policy/limit/bench_test.go
+++ b/internal/policy/limit/bench_test.go
@@ -12,7 +12,7 @@
 func benchOwner() *Owner {
 	c := clockwork.NewRealClock()
 	o := &Owner{Clock: c, TTL: time.Hour, Drift: 0.01, Rates: func(string) (Rate, bool) { return Rate{PerSecond: 1e6, Burst: 1e6}, true }}
-	o.Begin(c.Now())
+	o.Begin(Predecessor{Begun: c.Now()})
 	return o
 }
 
--- a/internal/policy/limit/holder.go
+++ b/internal/policy/limit/holder.go
@@ -61,6 +61,7 @@
 	asked   bool      // an ask is under way
 	rate    float64   // of the workspace, 0 while not known
 	lost    bool      // the last exchange failed
+	sightAt time.Time // when the owner begins to grant again
 }
 
 type held struct {
@@ -343,7 +344,7 @@
 		p.grants = append(p.grants, &held{id: g.ID, tokens: g.Tokens, expires: sent.Add(g.TTL)})
 		p.askAt = now
 	} else {
-		p.askAt = now.Add(g.Wait)
+		p.askAt, p.sightAt = now.Add(g.Wait), now.Add(g.Blind)
 	}
 	for len(p.waiters) > 0 && p.spend(now, p.waiters[0].tokens) {
 		p.waiters[0].ready <- true
@@ -403,6 +404,18 @@
 	return p != nil && (p.lost || p.asked && p.rate == 0)
 }
 
+// OwnerBlind returns how long the owner of the workspace's rate grants nothing,
+// because it is new and cannot know which grants are out.
+func (h *Holder) OwnerBlind(workspace string) time.Duration {
+	s := h.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.workspaces[workspace]; p != nil {
+		return max(0, p.sightAt.Sub(h.Clock.Now()))
+	}
+	return 0
+}
+
 // Held returns how many unspent tokens the holder has for the workspace.
 func (h *Holder) Held(workspace string) float64 {
 	s := h.shard(workspace)
--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -48,6 +48,7 @@
 	refused int
 	pending []message
 	loss    float64
+	settled bool // the owner before had seen all earlier grants run out
 	calm    bool // no message is repeated
 }
 
@@ -73,10 +74,21 @@
 	return skewed{w.clock, w.clock.Now(), 1 + drift*(2*w.random.Float64()-1)}
 }
 
+// predecessor is what the next owner knows: mostly when the one before began or,
+// as after a restart of all replicas, only whether it had said that it is settled.
+func (w *world) predecessor(now time.Time) Predecessor {
+	if w.settled && w.random.IntN(2) == 0 {
+		return Predecessor{Begun: w.owner.Clock.Now(), Settled: true}
+	}
+	return Predecessor{Begun: w.owner.Clock.Now().Add(-time.Duration(float64(now.Sub(w.begun)) * (1 - drift)))}
+}
+
 func (w *world) changeOwner() {
+	settled := w.owner != nil && w.owner.Settled()
 	w.owner = &Owner{Clock: w.skew(), TTL: ttl, Drift: drift, Rates: func(string) (Rate, bool) { return w.rate, true }}
 	now := w.clock.Now()
-	w.owner.Begin(w.owner.Clock.Now().Add(-time.Duration(float64(now.Sub(w.begun)) * (1 - drift))))
+	w.settled = settled
+	w.owner.Begin(w.predecessor(now))
 	w.begun = now
 }
 
@@ -217,7 +229,7 @@
 	c := qt.New(t)
 	clock := clockwork.NewFakeClock()
 	o := &Owner{Clock: clock, TTL: ttl, Drift: drift, Rates: func(string) (Rate, bool) { return Rate{PerSecond: 0.001, Burst: 10}, true }}
-	o.Begin(clock.Now())
+	o.Begin(Predecessor{Begun: clock.Now()})
 	clock.Advance(3 * time.Hour)
 	g := o.Settle("a", []Ask{{Workspace: workspace, Want: 3}})
 	c.Assert(g[0].Tokens, qt.Equals, 3.0)
--- a/internal/policy/limit/message.go
+++ b/internal/policy/limit/message.go
@@ -31,6 +31,8 @@
 	TTL       time.Duration
 	// Wait is how long to wait before asking again, if Tokens is 0.
 	Wait time.Duration `msgpack:",omitempty"`
+	// Blind is how long a new owner grants nothing at all.
+	Blind time.Duration `msgpack:",omitempty"`
 	// PerSecond is the workspace's rate.
 	PerSecond float64
 	// Unknown says that the workspace has no rate.
--- a/internal/policy/limit/owner.go
+++ b/internal/policy/limit/owner.go
@@ -30,7 +30,8 @@
 // than half the burst be outstanding, so the new one starts empty and uses the
 // other half until those grants have run out. If the predecessor itself began so
 // lately that grants of the owner before it may be out too, the new owner grants
-// nothing until all of them have run out.
+// nothing until all of them have run out. An owner without a predecessor starts
+// with the whole burst.
 type Owner struct {
 	Clock clockwork.Clock
 	// Rates returns the limit of a workspace.
@@ -42,6 +43,7 @@
 
 	mu      sync.Mutex
 	begun   time.Time
+	first   bool // there are no grants of earlier owners
 	strict  bool // grants of two earlier owners may be out
 	nextID  uint64
 	buckets map[string]*bucket
@@ -62,13 +64,23 @@
 	expires time.Time
 }
 
+// Predecessor is what a new owner knows of the one before.
+type Predecessor struct {
+	// None says that there was no owner before.
+	None bool
+	// Begun is a time by which that owner had begun.
+	Begun time.Time
+	// Settled says that it had seen all grants of earlier owners run out.
+	Settled bool
+}
+
 // Begin starts a term of ownership. Call it when the old owner's lease is over.
-// predecessor is a time by which that owner had begun.
-func (o *Owner) Begin(predecessor time.Time) {
+func (o *Owner) Begin(p Predecessor) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.begun = o.Clock.Now()
-	o.strict = o.begun.Sub(predecessor) < o.life()
+	o.first = p.None
+	o.strict = !p.Settled && o.begun.Sub(p.Begun) < o.life()
 	// Identifiers of different owners must not meet in a holder's reports.
 	o.nextID = uint64(o.begun.UnixNano())
 	o.buckets = map[string]*bucket{}
@@ -80,12 +92,28 @@
 	return time.Duration(float64(o.TTL) * (1 + o.Drift) / (1 - o.Drift))
 }
 
+// Settled reports whether all grants of earlier owners have run out.
+func (o *Owner) Settled() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.first || !o.Clock.Now().Before(o.begun.Add(o.life()))
+}
+
+// blind returns how long the owner grants nothing because it cannot know which
+// grants are out.
+func (o *Owner) blind(now time.Time) time.Duration {
+	if o.first || !o.strict {
+		return 0
+	}
+	return max(0, o.begun.Add(o.life()).Sub(now))
+}
+
 // Outstanding returns how many tokens of a burst may be granted and unspent.
 func Outstanding(burst float64) float64 { return math.Max(1, math.Floor(burst/2)) }
 
 // capacity is the most that the bucket and its grants may hold at t.
 func (o *Owner) capacity(b *bucket, t time.Time) float64 {
-	if t.Before(o.begun.Add(o.life())) {
+	if !o.first && t.Before(o.begun.Add(o.life())) {
 		if o.strict {
 			return 0
 		}
@@ -130,7 +158,7 @@
 	b.holders[holder] = now
 	n := b.share(a.Want, now, o.TTL)
 	if n < 1 {
-		g.Wait = b.untilNext()
+		g.Wait, g.Blind = b.untilNext(), o.blind(now)
 		return g
 	}
 	o.nextID++
@@ -151,7 +179,10 @@
 	}
 	if b == nil {
 		b = &bucket{rate: rate, at: o.begun, grants: map[uint64]*grant{}, holders: map[string]time.Time{}}
-		if now.After(o.begun.Add(o.life())) {
+		switch {
+		case o.first:
+			b.level, b.at = rate.Burst, now
+		case now.After(o.begun.Add(o.life())):
 			// Untouched since the owner began, so it is as full as time allows.
 			b.level = math.Min(rate.Burst, rate.PerSecond*now.Sub(o.begun).Seconds())
 			b.at = now
--- a/internal/policy/limit/wave_test.go
+++ b/internal/policy/limit/wave_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 )
 
 // patience is how long a request of the wave waits for a token.
@@ -64,3 +65,32 @@
 		qt.Check(t, refused, qt.Equals, 0, qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestNewOwnerGrantsAtOnce checks what a new owner may grant right after it began,
+// by what it knows of its predecessor.
+func TestNewOwnerGrantsAtOnce(t *testing.T) {
+	tests := []struct {
+		name        string
+		predecessor func(now time.Time) Predecessor
+		want        float64
+	}{
+		{"first of all", func(time.Time) Predecessor { return Predecessor{None: true} }, 9},
+		{"restarted together, settled before", func(now time.Time) Predecessor { return Predecessor{Begun: now, Settled: true} }, 5},
+		{"one long before", func(now time.Time) Predecessor { return Predecessor{Begun: now.Add(-time.Hour)} }, 5},
+		{"two in a row", func(now time.Time) Predecessor { return Predecessor{Begun: now} }, 0},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			o := &Owner{Clock: clock, TTL: ttl, Drift: drift, Rates: func(string) (Rate, bool) { return Rate{PerSecond: 1000, Burst: 20}, true }}
+			o.Begin(x.predecessor(clock.Now()))
+			clock.Advance(20 * time.Millisecond)
+			o.Settle("a", []Ask{{Workspace: workspace, Want: 1}})
+			clock.Advance(20 * time.Millisecond)
+			g := o.Settle("a", []Ask{{Workspace: workspace, Want: 10}})
+			qt.Assert(t, min(g[0].Tokens, x.want), qt.Equals, x.want)
+			qt.Assert(t, g[0].Tokens > 0, qt.Equals, x.want > 0)
+			qt.Assert(t, g[0].Blind > 0, qt.Equals, x.want == 0)
+		})
+	}
+}
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -134,6 +134,7 @@
 	owner      *limit.Owner
 	dispatcher *batch.Dispatcher
 	collectAt  time.Time
+	settled    uint64 // newest term that was proposed as settled
 	dropAt     time.Time
 	// term is the term for which owner and dispatcher have begun.
 	term atomic.Uint64
@@ -361,15 +362,28 @@
 		if s.Applied < s.Commit {
 			return
 		}
-		l.owner.Begin(s.PredecessorAt)
+		l.owner.Begin(limit.Predecessor{
+			None: s.PredecessorTerm == 0, Begun: s.PredecessorAt, Settled: s.PredecessorTerm == l.machine.Settled(),
+		})
 		l.dispatcher.Begin()
 		l.term.Store(s.Term)
 		return
 	}
+	l.settle(h, s.Term)
 	l.expire(h)
 	l.collect(h)
 }
 
+// settle records once a term that all grants of earlier owners have run out, so
+// that the next leader need not wait for them, even if all replicas restart.
+func (l *leadership) settle(h *Host, term uint64) {
+	if l.settled == term || l.machine.Settled() >= term || !l.owner.Settled() {
+		return
+	}
+	l.settled = term
+	l.propose(h, &shard.Command{Settled: term})
+}
+
 // collect removes what ended long ago.
 func (l *leadership) collect(h *Host) {
 	now := h.Clock.Now()
--- a/internal/state/shard/machine.go
+++ b/internal/state/shard/machine.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 
@@ -20,6 +21,9 @@
 	Jobs   *jobs.Command
 	Claims *claims.Command
 	Burn   *burn.Command
+	// Settled is the term of a leader that has seen all grants of earlier leaders
+	// run out.
+	Settled uint64 `msgpack:",omitempty"`
 }
 
 // Result is the outcome of a command.
@@ -33,6 +37,8 @@
 	Jobs   *jobs.Machine
 	Claims *claims.State
 	Burn   *burn.State
+
+	settled atomic.Uint64
 }
 
 var _ rhubarbgate.StateMachine = (*Machine)(nil)
@@ -55,14 +61,21 @@
 		return &Result{Claims: m.Claims.Apply(c.Claims)}
 	case c.Burn != nil:
 		m.Burn.Apply(c.Burn)
+	case c.Settled > 0:
+		m.settled.Store(max(m.settled.Load(), c.Settled))
 	}
 	return &Result{}
 }
 
+// Settled returns the newest term whose leader had seen all grants of earlier
+// leaders run out.
+func (m *Machine) Settled() uint64 { return m.settled.Load() }
+
 // preamble is the part of a snapshot before the jobs.
 type preamble struct {
-	Claims []claims.Entry
-	Burn   burn.Image
+	Claims  []claims.Entry
+	Burn    burn.Image
+	Settled uint64
 }
 
 type writer struct {
@@ -73,7 +86,7 @@
 // Snapshot implements rhubarbgate.StateMachine.
 func (m *Machine) Snapshot() rhubarbgate.SnapshotWriter {
 	return &writer{
-		preamble: preamble{Claims: m.Claims.Entries(), Burn: m.Burn.Image()},
+		preamble: preamble{Claims: m.Claims.Entries(), Burn: m.Burn.Image(), Settled: m.Settled()},
 		jobs:     m.Jobs.Snapshot(),
 	}
 }
@@ -121,5 +134,6 @@
 	}
 	m.Claims.Restore(p.Claims)
 	m.Burn.Restore(p.Burn)
+	m.settled.Store(p.Settled)
 	return nil
 }
