--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
+
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
@@ -31,8 +33,11 @@
 func (w *worker) work(ctx context.Context, t *task, p *gatekeeper.Place) {
 	defer w.signal()
 	w.host.counts.batch.Add(1)
+	began := w.clock.Now()
+	w.logItem(t, "item starts")
 	o, again := w.attempt(t, p)
 	p.Leave()
+	w.logItem(t, w.outcomeText(t, o, again), log.Fields{"ran": w.clock.Since(began).String(), "verdict": o.Verdict.String(), "cause": o.Message})
 	switch {
 	case again:
 		w.host.counts.preempted.Add(1)
@@ -44,6 +49,34 @@
 	}
 }
 
+// outcomeText says how an attempt ended.
+func (w *worker) outcomeText(t *task, o jobs.Outcome, again bool) string {
+	switch {
+	case again:
+		return "item preempted"
+	case t.ctx.Err() != nil:
+		return "item dropped, its lease was lost"
+	case o.OK:
+		return "item done"
+	default:
+		return "item failed"
+	}
+}
+
+// logItem writes a line about a decision on an item.
+func (w *worker) logItem(t *task, text string, more ...log.Fields) {
+	f := log.Fields{
+		"job": t.grant.Ref.Job, "index": t.grant.Ref.Index, "attempt": t.grant.Ref.Attempt,
+		"due": t.grant.Due.Sub(w.clock.Now()).Round(time.Millisecond).String(), "lastEvent": t.output.LastID,
+	}
+	for _, m := range more {
+		for k, v := range m {
+			f[k] = v
+		}
+	}
+	w.host.Logger.WithFields(f).Info(text)
+}
+
 // requeue puts a preempted task at the head of those that wait, with what it
 // has produced so far.
 func (w *worker) requeue(ctx context.Context, t *task) {
@@ -56,6 +89,7 @@
 		return
 	}
 	delete(w.held, t.grant.Ref)
+	w.logItem(t, "item returned")
 	w.tasks.Go(func() {
 		call, cancel := context.WithTimeout(context.Background(), returnTimeout)
 		defer cancel()
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -60,7 +60,6 @@
 		return o, true
 	}
 	o.Message, o.Verdict, o.Permanent = err.Message, err.Verdict, err.Code == rhubarbgate.CodeInvalid
-	w.host.Logger.WithField("item", t.grant.Ref).WithField("verdict", err.Verdict.String()).Info("attempt at an item failed: " + err.Message)
 	return o, false
 }
 
