Control client: pass hosts over that do not answer; elections after 350 ms

Ruled out: the election (a successor acknowledged before). Change: an attempt lasts 600 ms, and a host that did not answer is passed over for 2 s, also where others still name it; elections begin after 350 ms.

--- a/internal/consensus/raft/group.go
+++ b/internal/consensus/raft/group.go
@@ -188,7 +188,7 @@
 
 // Run drives the group until ctx ends or its storage fails.
 func (g *Group) Run(ctx context.Context) error {
-	interval := g.Heartbeat / 4
+	interval := g.Heartbeat / 2
 	t := g.Clock.NewTicker(interval)
 	defer t.Stop()
 	for {
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -26,7 +26,7 @@
 	// pollPause and maxPollPause bound the wait after a failed poll. The longest
 	// leaves room for several tries before the configuration is too old.
 	pollPause    = 100 * time.Millisecond
-	maxPollPause = 800 * time.Millisecond
+	maxPollPause = 300 * time.Millisecond
 	// usefulAge is the age above which another parent is tried.
 	usefulAge = 2 * time.Second
 	// keptBundles is how many bundles a relay keeps for its children.
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -14,7 +14,7 @@
 	defaultTimeout = 30 * time.Second
 	// unsureRetry is when a caller may come back to an entry that cannot confirm
 	// its configuration: an election, a poll and an exchange with the owner.
-	unsureRetry = 1200 * time.Millisecond
+	unsureRetry = 800 * time.Millisecond
 	// unsureSpread and blindSpread spread the return of callers that were refused
 	// together.
 	unsureSpread = 300 * time.Millisecond
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -46,9 +46,9 @@
 	// the owner in a row nothing is granted for as long.
 	GrantTTL = 1200 * time.Millisecond
 	// defaultElection is the shortest time without a leader before an election.
-	defaultElection = 600 * time.Millisecond
+	defaultElection = 350 * time.Millisecond
 	// defaultHeartbeat is the interval of a leader's heartbeats.
-	defaultHeartbeat = 100 * time.Millisecond
+	defaultHeartbeat = 70 * time.Millisecond
 	// snapshotBytes is the size of a group's log at which a snapshot is taken.
 	snapshotBytes = 16 << 20
 	// leadershipInterval is how often a host checks what it leads.
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/claims"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -16,8 +17,11 @@
 )
 
 const (
-	// attemptTimeout bounds one call to one host.
-	attemptTimeout = 2 * time.Second
+	// attemptTimeout bounds one call to one host: several syncs of a slow disk, and
+	// short enough to ask another host before operators turn away after a second.
+	attemptTimeout = 600 * time.Millisecond
+	// avoidFor is how long a host that did not answer in time is passed over.
+	avoidFor = 2 * time.Second
 	// retryPause is how long to wait when no host leads.
 	retryPause = 50 * time.Millisecond
 )
@@ -32,6 +36,8 @@
 
 	mu      sync.Mutex
 	leaders map[uint32]netip.AddrPort
+	// avoided are hosts that did not answer, until when they are passed over.
+	avoided map[netip.AddrPort]time.Time
 	next    int
 }
 
@@ -49,10 +55,48 @@
 	if len(c.Hosts) == 0 {
 		return netip.AddrPort{}
 	}
+	now := c.Clock.Now()
+	for range c.Hosts {
+		c.next++
+		if a := c.Hosts[c.next%len(c.Hosts)]; !now.Before(c.avoided[a]) {
+			return a
+		}
+	}
 	c.next++
 	return c.Hosts[c.next%len(c.Hosts)]
 }
 
+// avoids reports whether a host is passed over.
+func (c *Client) avoids(a netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Now().Before(c.avoided[a])
+}
+
+// unlessAvoided returns no address for a host that is passed over: those that
+// name it as the leader have not noticed its silence yet.
+func (c *Client) unlessAvoided(a netip.AddrPort) netip.AddrPort {
+	if c.avoids(a) {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+// avoid passes a host over for a while.
+func (c *Client) avoid(a netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.avoided == nil {
+		c.avoided = map[netip.AddrPort]time.Time{}
+	}
+	c.avoided[a] = c.Clock.Now().Add(avoidFor)
+	for g, l := range c.leaders {
+		if l == a {
+			delete(c.leaders, g)
+		}
+	}
+}
+
 // Update replaces the hosts; an empty list changes nothing.
 func (c *Client) Update(hosts []netip.AddrPort) {
 	if len(hosts) == 0 {
@@ -87,8 +131,9 @@
 		if !a.IsValid() {
 			return nil, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, verdict, "no host of group %d is known yet", group).After(time.Second)
 		}
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		attempt, cancel := deadline.WithTimeout(ctx, c.Clock, attemptTimeout)
 		out, err := wire.Call[Out](attempt, c.Wire, a, method, in)
+		silent := deadline.Passed(attempt)
 		cancel()
 		if err == nil {
 			moved, leader := P(out).Moved()
@@ -96,8 +141,8 @@
 				c.learn(group, a)
 				return out, nil
 			}
-			c.learn(group, leader)
-			if leader.IsValid() && leader != a && ctx.Err() == nil {
+			c.learn(group, c.unlessAvoided(leader))
+			if leader.IsValid() && leader != a && ctx.Err() == nil && !c.avoids(leader) {
 				continue
 			}
 		} else {
@@ -107,6 +152,9 @@
 			}
 			verdict = verdict.Worst(e.Verdict)
 			c.learn(group, netip.AddrPort{})
+			if silent {
+				c.avoid(a)
+			}
 		}
 		if !c.pause(ctx) {
 			return nil, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, verdict, "no control host answered %s for group %d", method, group).After(time.Second)
