Ingress: refused callers return spread over a second

Cause: callers refused together, because the configuration was not there yet or the bucket empty, came back together within 0.3 s or at once, and were refused again: they try once more only.

--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -17,8 +17,12 @@
 	unsureRetry = 800 * time.Millisecond
 	// unsureSpread and blindSpread spread the return of callers that were refused
 	// together.
-	unsureSpread = 300 * time.Millisecond
-	blindSpread  = 200 * time.Millisecond
+	unsureSpread = 900 * time.Millisecond
+	blindSpread  = 500 * time.Millisecond
+	// rateRetry and rateSpread say when a caller beyond the rate may come back: the
+	// bucket is empty, so those that return at once are refused again.
+	rateRetry  = 400 * time.Millisecond
+	rateSpread = 800 * time.Millisecond
 	// admitPatience is the longest wait for a token of the rate.
 	admitPatience = 150 * time.Millisecond
 	// admitShare is the part of the time to the deadline that the wait may use.
@@ -135,7 +139,7 @@
 	if blind := s.Holder.OwnerBlind(x.Workspace); blind > 0 {
 		return notRun(rhubarbgate.CodeUnavailable, "the owner of workspace %s's rate is new", x.Workspace).After(blind + s.jitter(blindSpread))
 	}
-	wait = max(wait, time.Duration(float64(time.Second)/max(w.Rate, 1)))
+	wait = max(wait, rateRetry) + s.jitter(rateSpread)
 	if s.Holder.OwnerLost(x.Workspace) {
 		return notRun(rhubarbgate.CodeUnavailable, "the owner of workspace %s's rate cannot be reached", x.Workspace).After(max(wait, s.unsure()))
 	}
