Batch: leases of a side's earlier incarnation end at once

Cause: after all processes were killed, items leased to the dead sides waited for the whole life of a lease under the new leader, 5 s, and became late. Ruled out: slow restarts of the sides (they asked for leases 0.8 s after the kill). Change: leases carry the side's incarnation; when a side asks under a new one, what the old one held is pending again. Leases last 3 s. Test: TestRestartedSideFreesItsLeases.

--- a/internal/consensus/raft/core.go
+++ b/internal/consensus/raft/core.go
@@ -75,8 +75,8 @@
 	electedAt     time.Time
 	// predecessorTerm is the last term with entries before the replica's own.
 	predecessorTerm uint64
-	transferee    uint64
-	transferAt    time.Time
+	transferee      uint64
+	transferAt      time.Time
 
 	fresh     freshness
 	installed *SnapshotMeta
--- a/internal/controller/batch/dispatcher.go
+++ b/internal/controller/batch/dispatcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 )
 
 // LeaseTTL is how long a lease lasts without renewal.
-const LeaseTTL = 5 * time.Second
+const LeaseTTL = 3 * time.Second
 
 // paceWindow smooths the measured pace of completions.
 const paceWindow = 10 * time.Second
@@ -31,6 +32,7 @@
 	ItemRate func(workspace string) (limit.Rate, bool)
 
 	mu        sync.Mutex
+	sides     map[string]string // incarnations by name
 	deadlines map[jobs.ItemRef]time.Time
 	items     *limit.Static
 	pace      float64
@@ -44,6 +46,7 @@
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
 	d.deadlines = map[jobs.ItemRef]time.Time{}
+	d.sides = map[string]string{}
 	d.items = &limit.Static{Clock: d.Clock, Rates: d.ItemRate, Entries: 1, Empty: true}
 	d.paceAt = now
 	d.Machine.BeginLeasing()
@@ -89,6 +92,27 @@
 	return d.Machine.Next(l.Job, needs)
 }
 
+// Holder returns the name under which the leases of a side's incarnation are kept.
+func Holder(side, incarnation string) string { return side + "#" + incarnation }
+
+// Arrived notes that a side asks for leases, and returns those that earlier
+// incarnations of it held: their work is lost.
+func (d *Dispatcher) Arrived(side, incarnation string) []jobs.ItemRef {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sides[side] == incarnation {
+		return nil
+	}
+	d.sides[side] = incarnation
+	refs := d.Machine.HeldBy(func(h string) bool {
+		return strings.HasPrefix(h, Holder(side, "")) && h != Holder(side, incarnation)
+	})
+	for _, r := range refs {
+		delete(d.deadlines, r)
+	}
+	return refs
+}
+
 // Granted records the leases that were committed out of those picked.
 func (d *Dispatcher) Granted(picked []jobs.ItemRef, granted []jobs.Grant) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/controller/batch/dispatcher_test.go
@@ -0,0 +1,57 @@
+package batch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/policy/order"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
+	"rhubarbgate.example/rhubarbgate/internal/storage/disk"
+)
+
+// newDispatcher returns the dispatcher of a leader whose group holds one job.
+func newDispatcher(t *testing.T, items int) (*Dispatcher, *jobs.Machine, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	m := jobs.New(&disk.Spill{Dir: t.TempDir()})
+	s := &jobs.Submit{ID: "j", Workspace: "w", Window: 18 * time.Second, Retention: time.Minute, Attempts: 3}
+	for range items {
+		s.Items = append(s.Items, jobs.ItemInput{ID: string(rune('a' + len(s.Items))), Needs: "r", Idempotent: true, Line: []byte("x")})
+	}
+	qt.Assert(t, m.Apply(&jobs.Command{At: clock.Now(), Submit: s}).Err, qt.IsNil)
+	d := &Dispatcher{
+		Clock: clock, Machine: m, Order: &order.Deadline{Random: rand.New(rand.NewPCG(1, 1))},
+		Weight: func(string) float64 { return 1 }, ItemRate: func(string) (limit.Rate, bool) { return limit.Rate{}, false },
+	}
+	d.Begin()
+	return d, m, clock
+}
+
+// lease leases up to n items to an incarnation of a side, as the leader does.
+func lease(d *Dispatcher, m *jobs.Machine, side, incarnation string, n int) int {
+	if lost := d.Arrived(side, incarnation); len(lost) > 0 {
+		m.Apply(&jobs.Command{At: d.Clock.Now(), Expire: &jobs.Expire{Items: lost}})
+	}
+	refs := d.Pick([]string{"r"}, n)
+	r := m.Apply(&jobs.Command{At: d.Clock.Now(), Lease: &jobs.Lease{Side: Holder(side, incarnation), Items: refs}})
+	d.Granted(refs, r.Granted)
+	return len(r.Granted)
+}
+
+// TestRestartedSideFreesItsLeases answers the day on which all processes were
+// killed: what their earlier incarnations held is leased again at once, also by a
+// leader that did not grant it, and nothing else is.
+func TestRestartedSideFreesItsLeases(t *testing.T) {
+	d, m, _ := newDispatcher(t, 6)
+	qt.Assert(t, lease(d, m, "one", "1", 3), qt.Equals, 3)
+	qt.Assert(t, lease(d, m, "one-b", "1", 2), qt.Equals, 2)
+	d.Begin() // another leader
+	qt.Assert(t, lease(d, m, "two", "1", 6), qt.Equals, 1)
+	qt.Assert(t, lease(d, m, "one", "2", 6), qt.Equals, 3)
+	qt.Assert(t, lease(d, m, "one", "2", 6), qt.Equals, 0)
+	qt.Assert(t, d.Arrived("one", "2"), qt.HasLen, 0)
+}
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate"
@@ -202,11 +203,15 @@
 	if !l.leads() {
 		return &control.LeaseReply{Routing: h.routing(in.Group)}, nil
 	}
+	if lost := l.dispatcher.Arrived(in.Side, in.Incarnation); len(lost) > 0 {
+		h.Logger.WithFields(log.Fields{"side": in.Side, "items": len(lost)}).Info("side started anew, its leases are ended")
+		l.propose(h, &shard.Command{Jobs: &jobs.Command{Expire: &jobs.Expire{Items: lost}}})
+	}
 	refs := l.dispatcher.Pick(in.Needs, min(in.Count, maxLease))
 	if len(refs) == 0 {
 		return &control.LeaseReply{TTL: batch.LeaseTTL}, nil
 	}
-	c := &shard.Command{Jobs: &jobs.Command{Lease: &jobs.Lease{Side: in.Side, Items: refs}}}
+	c := &shard.Command{Jobs: &jobs.Command{Lease: &jobs.Lease{Side: batch.Holder(in.Side, in.Incarnation), Items: refs}}}
 	h.stamp(c)
 	v, moved, err := h.propose(ctx, in.Group, c)
 	if err != nil {
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	host   *Host
 	clock  clockwork.Clock
 	random *rand.Rand
+	// incarnation tells this process from an earlier one beside the same target.
+	incarnation string
 
 	mu    sync.Mutex
 	held  map[jobs.ItemRef]*task // leased and not reported yet
@@ -71,7 +74,7 @@
 
 func newWorker(h *Host) *worker {
 	return &worker{
-		host: h, clock: h.Clock, random: rand.New(rand.NewPCG(h.Random.Uint64(), 0)),
+		host: h, clock: h.Clock, incarnation: strconv.FormatUint(h.Random.Uint64(), 36), random: rand.New(rand.NewPCG(h.Random.Uint64(), 0)),
 		held: map[jobs.ItemRef]*task{}, flush: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 	}
 }
@@ -200,7 +203,9 @@
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	sent := w.clock.Now()
-	r, err := w.host.control.Lease(call, &control.Lease{Group: group, Side: w.host.Name, Needs: needs, Count: n})
+	r, err := w.host.control.Lease(call, &control.Lease{
+		Group: group, Side: w.host.Name, Incarnation: w.incarnation, Needs: needs, Count: n,
+	})
 	if err != nil {
 		return 0
 	}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -184,8 +184,10 @@
 type Lease struct {
 	Group uint32
 	Side  string
-	Needs []string
-	Count int
+	// Incarnation is drawn when the side starts: leases of an earlier one are lost.
+	Incarnation string
+	Needs       []string
+	Count       int
 }
 
 // LeaseReply lists the granted items. Leases last TTL from the request's sending.
--- a/internal/state/jobs/items.go
+++ b/internal/state/jobs/items.go
@@ -34,6 +34,7 @@
 		}
 		x.state = Leased
 		x.attempts++
+		j.hold(ref.Index, c.Side)
 		j.Counts.Leased++
 		in := j.input.inputs[ref.Index]
 		j.waiting[in.needs]--
@@ -45,6 +46,28 @@
 	return r
 }
 
+func (j *job) hold(i int, side string) {
+	if j.holders == nil {
+		j.holders = map[int32]string{}
+	}
+	j.holders[int32(i)] = side
+}
+
+// HeldBy returns the leases whose side matches.
+func (m *Machine) HeldBy(match func(side string) bool) []ItemRef {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var r []ItemRef
+	for id, j := range m.jobs {
+		for i, side := range j.holders {
+			if match(side) {
+				r = append(r, ItemRef{Job: id, Index: int(i), Attempt: int(j.items[i].attempts)})
+			}
+		}
+	}
+	return r
+}
+
 // Line returns the input line of an item.
 func (m *Machine) Line(ref ItemRef) ([]byte, error) {
 	m.mu.RLock()
@@ -93,6 +116,7 @@
 	x := &j.items[i]
 	j.uncount(x.state)
 	x.state = Pending
+	delete(j.holders, int32(i))
 	n := j.input.inputs[i].needs
 	j.waiting[n]++
 	if m.leasing {
--- a/internal/state/jobs/machine.go
+++ b/internal/state/jobs/machine.go
@@ -68,6 +68,8 @@
 	// progress is what unfinished items have produced so far. It is a hint that
 	// snapshots leave out.
 	progress map[int32][]byte
+	// holders are the sides that hold leases. Snapshots leave them out.
+	holders map[int32]string
 }
 
 // item is the progress of one line.
@@ -273,6 +275,7 @@
 	j.live--
 	m.terminal++
 	delete(j.progress, int32(i))
+	delete(j.holders, int32(i))
 	switch s {
 	case Done:
 		j.Counts.Done++
