Agreement: bootstrap a replica only between its iterations

Change: Bootstrap and Poll exclude each other, and a bootstrap keeps the term.

Batch: preempted items wait 120 ms beside their target and then go back to the pool with what they produced; what is due last is preempted first; idle sides ask after 250 ms. Kept: an item no longer waits at a target without room.

--- a/internal/consensus/raft/group.go
+++ b/internal/consensus/raft/group.go
@@ -49,6 +49,9 @@
 	proposals    map[uint64]proposal // by index
 	reads        []read
 
+	// driving is held while the core, the log and the machine are in use.
+	driving sync.Mutex
+
 	mu     sync.Mutex
 	inbox  inbox
 	wake   chan struct{}
@@ -174,10 +177,13 @@
 
 // Bootstrap puts the first membership in force on a replica without state.
 func (g *Group) Bootstrap(m Members) error {
+	g.driving.Lock()
+	defer g.driving.Unlock()
 	if g.core.entries.last() > 0 || len(g.core.members) > 0 {
 		return errors.AlreadyExistsf("state of group %d", g.ID)
 	}
-	s := Stored{Base: SnapshotMeta{Members: m}}
+	// Messages of members that were quicker may have raised the term.
+	s := Stored{HardState: HardState{Term: g.core.term, Vote: g.core.vote}, Base: SnapshotMeta{Members: m}}
 	if err := g.Log.Reset(s); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/consensus/raft/poll.go
+++ b/internal/consensus/raft/poll.go
@@ -9,6 +9,8 @@
 // Poll handles all events that have come in: it steps the core, persists,
 // sends, and applies. An error means that the storage failed.
 func (g *Group) Poll() error {
+	g.driving.Lock()
+	defer g.driving.Unlock()
 	if g.failed != nil {
 		return g.failed
 	}
--- a/internal/controller/batch/dispatcher_test.go
+++ b/internal/controller/batch/dispatcher_test.go
@@ -22,7 +22,8 @@
 	for range items {
 		s.Items = append(s.Items, jobs.ItemInput{ID: string(rune('a' + len(s.Items))), Needs: "r", Idempotent: true, Line: []byte("x")})
 	}
-	qt.Assert(t, m.Apply(&jobs.Command{At: clock.Now(), Submit: s}).Err, qt.IsNil)
+	r := m.Apply(&jobs.Command{At: clock.Now(), Submit: s})
+	qt.Assert(t, r.Err == nil, qt.IsTrue, qt.Commentf("%v", r.Err))
 	d := &Dispatcher{
 		Clock: clock, Machine: m, Order: &order.Deadline{Random: rand.New(rand.NewPCG(1, 1))},
 		Weight: func(string) float64 { return 1 }, ItemRate: func(string) (limit.Rate, bool) { return limit.Rate{}, false },
--- a/internal/policy/gate/yielding.go
+++ b/internal/policy/gate/yielding.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -9,7 +10,8 @@
 )
 
 // Yielding lets batch work have the slots that an engine's own reports show as
-// free, and stops it when they show online work waiting or the last slots taken.
+// free, and stops it when they show online work waiting or the last slots taken,
+// beginning with what is due last.
 // Online work does not pass this gate. It is not safe for concurrent use.
 type Yielding struct {
 	Clock clockwork.Clock
@@ -19,7 +21,7 @@
 	// online request finds one while the next report is still to come.
 	Headroom int
 
-	running  []uint64 // the newest last
+	running  []rhubarbgate.Work // the one due last comes last
 	occupied int      // by the newest report, queued ones included
 	started  int      // since that report
 	stopping map[uint64]bool
@@ -36,7 +38,7 @@
 	over := y.occupied - len(y.stopping) + y.Headroom - y.Slots
 	for over > 0 && len(y.running) > 0 {
 		last := len(y.running) - 1
-		id := y.running[last]
+		id := y.running[last].ID
 		y.running = y.running[:last]
 		y.stopping[id] = true
 		d.Preempt = append(d.Preempt, id)
@@ -56,7 +58,8 @@
 	if y.BatchRoom() <= 0 {
 		return rhubarbgate.Decision{Refuse: []uint64{w.ID}}
 	}
-	y.running = append(y.running, w.ID)
+	at, _ := slices.BinarySearchFunc(y.running, w, func(a, b rhubarbgate.Work) int { return a.Deadline.Compare(b.Deadline) })
+	y.running = slices.Insert(y.running, at, w)
 	y.started++
 	return rhubarbgate.Decision{Start: []uint64{w.ID}}
 }
@@ -64,12 +67,7 @@
 // Done implements rhubarbgate.Gate.
 func (y *Yielding) Done(id uint64) rhubarbgate.Decision {
 	delete(y.stopping, id)
-	for i, x := range y.running {
-		if x == id {
-			y.running = append(y.running[:i], y.running[i+1:]...)
-			break
-		}
-	}
+	y.running = slices.DeleteFunc(y.running, func(w rhubarbgate.Work) bool { return w.ID == id })
 	return rhubarbgate.Decision{}
 }
 
--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -27,6 +27,9 @@
 	// maxDropped is how often a preempted item is kept at this side before it is
 	// returned, so that a busy side does not hold on to it.
 	maxDropped = 20
+	// keepWaiting is how long a preempted item waits for room beside the same
+	// target: a few probes.
+	keepWaiting = 120 * time.Millisecond
 )
 
 // work runs one task in its place, and queues it again if it is preempted.
@@ -85,9 +88,15 @@
 	t.place = nil
 	t.partial.preemptions++
 	if ctx.Err() == nil && t.partial.preemptions < maxDropped {
+		t.waits = w.clock.Now()
 		w.ready = append([]*task{t}, w.ready...)
 		return
 	}
+	w.giveBack(t)
+}
+
+// giveBack returns the lease of an item with what it has produced. The lock is held.
+func (w *worker) giveBack(t *task) {
 	delete(w.held, t.grant.Ref)
 	w.logItem(t, "item returned")
 	w.tasks.Go(func() {
@@ -99,6 +108,27 @@
 	})
 }
 
+// giveBackWaiting returns items that found no room here for a while, or at once
+// if the target is gone, so that other sides can go on with them.
+func (w *worker) giveBackWaiting() {
+	if w.host.Probe == nil {
+		return
+	}
+	gone := w.host.isLeaving() || w.host.down.Load()
+	now := w.clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	kept := w.ready[:0]
+	for _, t := range w.ready {
+		if gone || now.Sub(t.waits) >= keepWaiting {
+			w.giveBack(t)
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	w.ready = kept
+}
+
 // attempt runs the item; again says that it was preempted and may go on later.
 func (w *worker) attempt(t *task, p *gatekeeper.Place) (o jobs.Outcome, again bool) {
 	o.Ref = t.grant.Ref
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -29,6 +29,8 @@
 	// emptyPause and emptyPauseMax bound the wait after a group had no items.
 	emptyPause    = 50 * time.Millisecond
 	emptyPauseMax = 500 * time.Millisecond
+	// emptyPauseBeside is that bound where no backlog tells of new items.
+	emptyPauseBeside = 250 * time.Millisecond
 	// spare is how many items are leased beyond the room that is there.
 	spare = 4
 	// returnTimeout bounds the return of leases when the side leaves.
@@ -60,6 +62,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	until  time.Time // end of the lease
+	waits  time.Time // for room, since it was leased or preempted
 	// place is set while the task runs.
 	place   *gatekeeper.Place
 	partial partial
@@ -102,6 +105,7 @@
 	pause := emptyPause
 	for ctx.Err() == nil {
 		w.startReady(ctx)
+		w.giveBackWaiting()
 		n := w.wanted()
 		got := 0
 		if n > 0 {
@@ -113,7 +117,7 @@
 		}
 		wait := pause
 		if n > 0 {
-			pause = min(pause*2, emptyPauseMax)
+			pause = min(pause*2, w.longestPause())
 		} else {
 			wait = emptyPause
 		}
@@ -121,6 +125,14 @@
 	}
 }
 
+// longestPause bounds the wait after the groups had no items.
+func (w *worker) longestPause() time.Duration {
+	if w.host.Probe != nil {
+		return emptyPauseBeside
+	}
+	return emptyPauseMax
+}
+
 // idle waits for room, for a finished task or for the pause to end.
 func (w *worker) idle(ctx context.Context, pause time.Duration) {
 	t := w.clock.NewTimer(pause)
@@ -217,7 +229,7 @@
 }
 
 func (w *worker) add(g jobs.Grant, group uint32, until time.Time) {
-	t := &task{grant: g, group: group, until: until}
+	t := &task{grant: g, group: group, until: until, waits: w.clock.Now()}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.output = decodeOutput(g.Progress)
 	w.mu.Lock()
