--- a/internal/http/ingress/jobs.go
+++ b/internal/http/ingress/jobs.go
@@ -60,6 +60,9 @@
 	if _, err := s.Stores.Jobs(ctx, group, jobs.Command{Submit: c}); err != nil {
 		return unsure(err)
 	}
+	f := x.fields(s.Clock.Now())
+	f["group"], f["items"] = group, len(items)
+	s.Logger.WithFields(f).Info("batch job accepted")
 	x.HTTP.SetStatusCode(fasthttp.StatusAccepted)
 	return nil
 }
