--- /dev/null
+++ b/internal/http/ingress/ingress_test.go
@@ -0,0 +1,298 @@
+package ingress
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
+	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
+	"rhubarbgate.example/rhubarbgate/platform"
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
+)
+
+const (
+	host   = "shop.example"
+	secret = "the-callers-key"
+)
+
+// entry is a server in front of emulated targets.
+type entry struct {
+	t       *testing.T
+	url     string
+	server  *Server
+	source  *configuration.Watcher
+	targets []*platformtest.Target
+	list    *platformtest.List
+}
+
+func newEntry(t *testing.T, targets ...*platformtest.Target) *entry {
+	e := &entry{t: t, targets: targets, list: &platformtest.List{Targets: targets}}
+	for i, x := range targets {
+		x.Instance, x.Service, x.Zone, x.Slots = fmt.Sprintf("i-%d", i), "lm", "z", 8
+		qt.Assert(t, x.Start(), qt.IsNil)
+		t.Cleanup(x.Close)
+	}
+	qt.Assert(t, e.list.Start(), qt.IsNil)
+	t.Cleanup(e.list.Close)
+	clock := clockwork.NewRealClock()
+	logger := &log.Logger{Handler: discard.New()}
+	n := func() *expvar.Int { return new(expvar.Int) }
+	table := &discovery.Table{
+		Directory: &platform.Directory{Client: &target.Client{Address: e.list.Address()}}, Clock: clock, Logger: logger,
+		AvailabilityZone: "z", Failures: n(), Unreadable: n(), Opened: n(), Ejections: n(),
+	}
+	table.Refresh(context.Background())
+	e.source = &configuration.Watcher{Clock: clock, Logger: logger}
+	e.server = &Server{
+		Dialect: platform.Dialect{}, Source: e.source, Holder: &limit.Holder{Clock: clock}, Targets: table,
+		Stores: &control.Client{Clock: clock}, Picker: &pick.Least{Random: rand.New(rand.NewPCG(1, 1))},
+		Budget: &retry.Budget{Ratio: 0.1, Most: 20}, Clock: clock, Random: rand.New(rand.NewPCG(2, 2)),
+		Logger: logger, Counts: NewCounters(new(expvar.Map).Init()), MaxAge: time.Hour,
+	}
+	e.server.Prepare()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = e.server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	e.url = "http://" + l.Addr().String()
+	e.configure(1)
+	return e
+}
+
+// configure puts a configuration with a route of each kind in force.
+func (e *entry) configure(version uint64) {
+	lm := []rhubarbgate.Share{{Service: "lm", Weight: 1}}
+	route := func(name string, k rhubarbgate.RouteKind, attempts int, resumable bool) rhubarbgate.Route {
+		return rhubarbgate.Route{
+			Name: name, Kind: k, Timeout: 5 * time.Second, Path: rhubarbgate.Path{Host: host, Prefix: "/" + name + "/"},
+			Split: lm, Attempts: attempts, Resumable: resumable,
+		}
+	}
+	s := rhubarbgate.Section{
+		Workspaces: []rhubarbgate.Workspace{{Name: "w", Unlimited: true}},
+		Keys:       []rhubarbgate.Key{{Digest: config.KeyDigest(secret), Workspace: "w"}},
+		Services:   []rhubarbgate.Service{{Name: "lm"}},
+		Routes: []rhubarbgate.Route{
+			route("safe", rhubarbgate.Safe, 2, false), route("unsafe", rhubarbgate.Unsafe, 2, false),
+			route("stream", rhubarbgate.Streaming, 2, false), route("resume", rhubarbgate.Streaming, 3, true),
+		},
+	}
+	c := config.FromSection(version, nil, s)
+	e.source.Take(&control.PollReply{Version: version, Sum: c.Sum, Section: &s, Groups: 1}, time.Now())
+}
+
+// send sends a request and returns the status, the body and how it ended.
+func (e *entry) send(ctx context.Context, route, id, key string) (int, string, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+"/"+route+"/x", strings.NewReader("body"))
+	qt.Assert(e.t, err, qt.IsNil)
+	q.Host = host
+	q.Header.Set("X-Request-Id", id)
+	q.Header.Set("X-Deadline-Ms", "4000")
+	q.Header.Set("X-Tenant", "forged")
+	if key != "" {
+		q.Header.Set("Authorization", "Bearer "+key)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(b), err
+}
+
+// runs returns all runs of a request, at all targets.
+func (e *entry) runs(id string) []platformtest.Run {
+	var r []platformtest.Run
+	for _, x := range e.targets {
+		for _, y := range x.Runs() {
+			if y.ID == id {
+				r = append(r, y)
+			}
+		}
+	}
+	return r
+}
+
+// stream is what the caller of a whole stream gets.
+func stream(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i, platformtest.EventData(id, i))
+	}
+	return b.String()
+}
+
+// first makes a target treat the first sending of each request as f says.
+func first(f platformtest.Fault) func(string, int) platformtest.Fault {
+	return func(_ string, n int) platformtest.Fault {
+		if n == 1 {
+			return f
+		}
+		return platformtest.None
+	}
+}
+
+func TestForwardedRequest(t *testing.T) {
+	e := newEntry(t, &platformtest.Target{})
+	status, body, err := e.send(context.Background(), "safe", "r1", secret)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, 200)
+	qt.Assert(t, body, qt.Equals, "answer to r1")
+	r := e.runs("r1")
+	qt.Assert(t, r, qt.HasLen, 1)
+	qt.Assert(t, r[0].Tenant, qt.Equals, "w")
+	qt.Assert(t, r[0].Authorization, qt.Equals, "")
+	qt.Assert(t, r[0].Expected, qt.Equals, "i-0")
+}
+
+func TestRefusedCalls(t *testing.T) {
+	e := newEntry(t, &platformtest.Target{})
+	tests := []struct {
+		route, key string
+		status     int
+	}{
+		{"safe", "", 401}, {"safe", "unknown", 401}, {"nowhere", secret, 404},
+	}
+	for _, x := range tests {
+		status, _, err := e.send(context.Background(), x.route, "r", x.key)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, status, qt.Equals, x.status)
+	}
+	qt.Assert(t, e.runs("r"), qt.HasLen, 0)
+}
+
+// TestFaultsOfTargets checks for each kind of route what a caller gets and how
+// often the request ran, with one faulty target beside a good one.
+func TestFaultsOfTargets(t *testing.T) {
+	tests := []struct {
+		name, route string
+		fault       platformtest.Fault
+		events      int
+		// whole says that the caller gets the whole answer; otherwise it gets a
+		// failure that does not look like one.
+		whole bool
+		// most bounds how often the request ran.
+		most int
+	}{
+		{"unsafe refused by a target", "unsafe", platformtest.Shed, 0, true, 1},
+		{"unsafe whose answer is lost", "unsafe", platformtest.Lost, 0, false, 1},
+		{"unsafe with the answer of another", "unsafe", platformtest.Foreign, 0, false, 1},
+		{"safe whose answer is lost", "safe", platformtest.Lost, 0, true, 2},
+		{"safe with the answer of another", "safe", platformtest.Foreign, 0, true, 2},
+		{"safe that fails once", "safe", platformtest.Fail, 0, true, 2},
+		{"stream cut in the middle", "stream", platformtest.CutStream, 8, false, 1},
+		{"stream lost before its first event", "stream", platformtest.Lost, 8, false, 1},
+		{"resumable stream cut in the middle", "resume", platformtest.CutStream, 8, true, 2},
+		{"resumable stream lost before its first event", "resume", platformtest.Lost, 8, true, 2},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			for i := range 6 {
+				bad := &platformtest.Target{Events: x.events, Fault: first(x.fault)}
+				good := &platformtest.Target{Events: x.events}
+				e := newEntry(t, bad, good)
+				id := fmt.Sprintf("r%d", i)
+				status, body, err := e.send(context.Background(), x.route, id, secret)
+				want := "answer to " + id
+				if x.events > 0 {
+					want = stream(id, x.events)
+				}
+				hit := len(bad.Runs()) > 0 || x.fault == platformtest.Shed
+				if x.whole || !hit {
+					qt.Check(t, err, qt.IsNil)
+					qt.Check(t, status, qt.Equals, 200)
+					qt.Check(t, body, qt.Equals, want)
+				} else {
+					qt.Check(t, err != nil || status >= 500 && status != 503, qt.IsTrue, qt.Commentf("%d %q %v", status, body, err))
+				}
+				qt.Check(t, len(e.runs(id)) <= x.most, qt.IsTrue, qt.Commentf("%d runs", len(e.runs(id))))
+			}
+		})
+	}
+}
+
+// TestServerFailureIsPassedOn checks that the failure of a target reaches the
+// caller with its own status if nothing better can be had.
+func TestServerFailureIsPassedOn(t *testing.T) {
+	always := func(string, int) platformtest.Fault { return platformtest.Fail }
+	e := newEntry(t, &platformtest.Target{Fault: always}, &platformtest.Target{Fault: always}, &platformtest.Target{Fault: always})
+	for _, x := range []struct {
+		route string
+		runs  int
+	}{{"safe", 2}, {"unsafe", 1}} {
+		status, _, err := e.send(context.Background(), x.route, x.route, secret)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, status, qt.Equals, 500)
+		qt.Check(t, e.runs(x.route), qt.HasLen, x.runs)
+	}
+}
+
+// TestCallerLeaves checks that the target hears at once of a caller that left,
+// before the first event and behind it.
+func TestCallerLeaves(t *testing.T) {
+	x := &platformtest.Target{Events: 1000, Pace: 5 * time.Millisecond}
+	e := newEntry(t, x)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = e.send(ctx, "resume", "r", secret)
+	}()
+	for len(e.runs("r")) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	for e.server.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, e.runs("r")[0].Ended, qt.IsFalse)
+	qt.Assert(t, e.runs("r"), qt.HasLen, 1)
+}
+
+// TestReusedAddress checks that a request for a target that is gone does not run
+// at the one that has its address now.
+func TestReusedAddress(t *testing.T) {
+	x := &platformtest.Target{}
+	e := newEntry(t, x)
+	x.Instance = "i-new"
+	status, _, err := e.send(context.Background(), "unsafe", "r", secret)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, 503)
+	qt.Assert(t, e.runs("r"), qt.HasLen, 0)
+}
+
+// TestDrainingTargetGetsNothing checks that a leaving target is left out.
+func TestDrainingTargetGetsNothing(t *testing.T) {
+	a, b := &platformtest.Target{}, &platformtest.Target{}
+	e := newEntry(t, a, b)
+	a.Drain()
+	e.server.Targets.Refresh(context.Background())
+	for i := range 10 {
+		status, _, err := e.send(context.Background(), "safe", fmt.Sprint(i), secret)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, 200)
+	}
+	qt.Assert(t, a.Runs(), qt.HasLen, 0)
+}
--- a/internal/policy/gate/yielding.go
+++ b/internal/policy/gate/yielding.go
@@ -22,8 +22,8 @@
 	Headroom int
 
 	running  []rhubarbgate.Work // the one due last comes last
-	occupied int      // by the newest report, queued ones included
-	started  int      // since that report
+	occupied int                // by the newest report, queued ones included
+	started  int                // since that report
 	stopping map[uint64]bool
 	known    bool
 }
--- /dev/null
+++ b/internal/policy/placement/placement_test.go
@@ -0,0 +1,130 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/testkit/seed"
+)
+
+func TestMain(m *testing.M) { seed.Main(m) }
+
+func host(id uint64, zone string) Host {
+	return Host{
+		Member:           raft.Member{ID: id, Incarnation: id, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 7000)},
+		AvailabilityZone: zone,
+	}
+}
+
+// settle applies planned changes until none is due; learners are promoted as a
+// group does. It fails if two voters change at once.
+func settle(t interface{ Fatalf(string, ...any) }, p *Planner, m raft.Members, hosts []Host) raft.Members {
+	for range 50 {
+		next, ok := p.Next(m, hosts)
+		if !ok {
+			promoted := false
+			for _, x := range m {
+				if x.Learner {
+					x.Learner = false
+					m, promoted = m.With(x), true
+				}
+			}
+			if !promoted {
+				return m
+			}
+			continue
+		}
+		changed := 0
+		for _, x := range m {
+			if y, ok := next.Find(x.ID); !x.Learner && (!ok || y.Learner) {
+				changed++
+			}
+		}
+		if changed > 1 {
+			t.Fatalf("%d voters change at once: %v to %v", changed, m, next)
+		}
+		m = next
+	}
+	t.Fatalf("no end of changes: %v", m)
+	return nil
+}
+
+func ids(m raft.Members) []uint64 {
+	var r []uint64
+	for _, x := range m {
+		r = append(r, x.ID)
+	}
+	return r
+}
+
+func TestReplacements(t *testing.T) {
+	store := Planner{Group: 1, Most: 3, Least: 3, LostAfter: time.Second}
+	control := Planner{Most: 7, Least: 3, LostAfter: time.Second}
+	three := raft.Members{host(1, "a").Member, host(2, "b").Member, host(3, "c").Member}
+	lost := func(h Host) Host { h.Silent = time.Minute; return h }
+	retiring := func(h Host) Host { h.Retiring = true; return h }
+	tests := []struct {
+		name    string
+		planner Planner
+		hosts   []Host
+		want    []uint64
+	}{
+		{"all is well", store, []Host{host(1, "a"), host(2, "b"), host(3, "c"), host(4, "d")}, []uint64{1, 2, 3}},
+		{"a lost one is replaced", store, []Host{lost(host(1, "a")), host(2, "b"), host(3, "c"), host(4, "d")}, []uint64{2, 3, 4}},
+		{"one came back with an empty disk", store, []Host{host(2, "b"), host(3, "c"), host(9, "a")}, []uint64{2, 3, 9}},
+		{"a lost one stays without a replacement", store, []Host{lost(host(1, "a")), host(2, "b"), host(3, "c")}, []uint64{1, 2, 3}},
+		{"a retiring one is replaced", store, []Host{retiring(host(1, "a")), host(2, "b"), host(3, "c"), host(4, "d")}, []uint64{2, 3, 4}},
+		{"a free availability zone goes first", store, []Host{lost(host(1, "a")), host(2, "b"), host(3, "c"), host(4, "b"), host(5, "c"), host(6, "d")}, []uint64{2, 3, 6}},
+		{"control hosts all take part", control, []Host{host(1, "a"), host(2, "b"), host(3, "c"), host(4, "d"), host(5, "a")}, []uint64{1, 2, 3, 4, 5}},
+		{"a control host at another address", control, []Host{lost(host(1, "a")), host(2, "b"), host(3, "c"), host(4, "a")}, []uint64{2, 3, 4}},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			qt.Assert(t, ids(settle(t, &x.planner, three, x.hosts)), qt.DeepEquals, x.want)
+		})
+	}
+}
+
+// TestPlansKeepQuorum checks over random losses, returns and retirements that a
+// change never leaves fewer usable voters than there were, and that plans end.
+func TestPlansKeepQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		n := rapid.IntRange(3, 8).Draw(t, "hosts")
+		var hosts []Host
+		for i := range n {
+			hosts = append(hosts, host(uint64(i+1), fmt.Sprint(i%3)))
+		}
+		p := &Planner{Group: uint32(random.IntN(5)), Most: 3, Least: 3, LostAfter: time.Second}
+		m := p.First(hosts)
+		if len(m) != 3 {
+			t.Fatalf("first members %v", m)
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "events") {
+			i := random.IntN(len(hosts))
+			switch random.IntN(3) {
+			case 0:
+				hosts[i].Silent = time.Minute
+			case 1:
+				hosts[i].Silent = 0
+			default:
+				hosts[i].Retiring = random.IntN(4) == 0
+			}
+			before := len(p.usableVoters(m, hosts))
+			m = settle(t, p, m, hosts)
+			if after := len(p.usableVoters(m, hosts)); after < min(before, p.Least) {
+				t.Fatalf("%d usable voters became %d", before, after)
+			}
+			if m.Voters() < 3 {
+				t.Fatalf("%d voters", m.Voters())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/jobs/submit_test.go
@@ -0,0 +1,139 @@
+package jobs
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/storage/disk"
+)
+
+var submittedAt = time.Unix(1_000_000, 0).UTC()
+
+func submitted(t interface{ TempDir() string }, n int) *Machine {
+	m := New(&disk.Spill{Dir: t.TempDir()})
+	s := &Submit{ID: "j", Workspace: "w", Window: 18 * time.Second, Retention: time.Minute, Attempts: 3}
+	for i := range n {
+		s.Items = append(s.Items, ItemInput{ID: fmt.Sprintf("item-%d", i), Needs: "r", Idempotent: true, Line: []byte(fmt.Sprintf("line %d", i))})
+	}
+	m.Apply(&Command{At: submittedAt, Submit: s})
+	return m
+}
+
+func leaseItem(m *Machine, i int) ItemRef {
+	attempt := int(m.jobs["j"].items[i].attempts) + 1
+	r := m.Apply(&Command{At: submittedAt, Lease: &Lease{Side: "s", Items: []ItemRef{{Job: "j", Index: i, Attempt: attempt}}}})
+	return r.Granted[0].Ref
+}
+
+func complete(m *Machine, o Outcome) bool {
+	return m.Apply(&Command{At: submittedAt, Complete: &Complete{Outcomes: []Outcome{o}}}).Accepted[0]
+}
+
+// TestOnlyFailuresOfTargetsCount checks when an item of a submitted job is given up.
+func TestOnlyFailuresOfTargetsCount(t *testing.T) {
+	tests := []struct {
+		name     string
+		outcomes []Outcome
+		want     ItemState
+	}{
+		{"refused and lost for ever", []Outcome{{Verdict: rhubarbgate.NotRun}, {Verdict: rhubarbgate.MayHaveRun}, {Verdict: rhubarbgate.MayHaveRun}, {Verdict: rhubarbgate.MayHaveRun}, {Verdict: rhubarbgate.MayHaveRun}}, Pending},
+		{"two failures", []Outcome{{Verdict: rhubarbgate.Ran}, {Verdict: rhubarbgate.Ran}}, Pending},
+		{"three failures", []Outcome{{Verdict: rhubarbgate.Ran}, {Verdict: rhubarbgate.MayHaveRun}, {Verdict: rhubarbgate.Ran}, {Verdict: rhubarbgate.Ran}}, Failed},
+		{"can never run", []Outcome{{Verdict: rhubarbgate.Ran, Permanent: true}}, Failed},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			m := submitted(t, 1)
+			for _, o := range x.outcomes {
+				o.Ref = leaseItem(m, 0)
+				qt.Assert(t, complete(m, o), qt.IsTrue)
+			}
+			qt.Assert(t, m.jobs["j"].items[0].state, qt.Equals, x.want)
+		})
+	}
+}
+
+func TestSubmitTwice(t *testing.T) {
+	m := submitted(t, 3)
+	r := m.Apply(&Command{At: submittedAt, Submit: &Submit{ID: "j", Workspace: "w", Items: []ItemInput{{ID: "x"}}}})
+	qt.Assert(t, r.Err == nil, qt.IsTrue)
+	qt.Assert(t, r.Job.Counts.Total, qt.Equals, 3)
+	r = m.Apply(&Command{At: submittedAt, Submit: &Submit{ID: "j", Workspace: "other", Items: []ItemInput{{ID: "x"}}}})
+	qt.Assert(t, r.Err.Code, qt.Equals, rhubarbgate.CodeConflict)
+	_, err := m.Results("j", "other", 0, 1<<20)
+	qt.Assert(t, rhubarbgate.HasCode(err, rhubarbgate.CodeNotFound), qt.IsTrue)
+	line, err := m.Item("j", "w", "item-2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(line), qt.Equals, "line 2")
+}
+
+// TestProgressTravels checks that what a preempted attempt produced reaches the
+// next one, and ends with the item.
+func TestProgressTravels(t *testing.T) {
+	m := submitted(t, 1)
+	ref := leaseItem(m, 0)
+	m.Apply(&Command{At: submittedAt, Return: &Return{Items: []ItemRef{ref}, Progress: [][]byte{[]byte("half")}}})
+	r := m.Apply(&Command{At: submittedAt, Lease: &Lease{Side: "t", Items: []ItemRef{{Job: "j", Index: 0, Attempt: 2}}}})
+	qt.Assert(t, string(r.Granted[0].Progress), qt.Equals, "half")
+	qt.Assert(t, complete(m, Outcome{Ref: r.Granted[0].Ref, OK: true, Output: []byte("all")}), qt.IsTrue)
+	qt.Assert(t, m.jobs["j"].progress, qt.HasLen, 0)
+	qt.Assert(t, m.jobs["j"].holders, qt.HasLen, 0)
+}
+
+type memory struct{ *bytes.Reader }
+
+func (memory) Close() error { return nil }
+
+// TestResultsKeepTheirPositions checks over random ends of items, snapshots and
+// restores that a result never moves and none is listed twice.
+func TestResultsKeepTheirPositions(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 1))
+		n := rapid.IntRange(1, 12).Draw(r, "items")
+		m := submitted(t, n)
+		var seen []rhubarbgate.JobResult
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			switch i := random.IntN(n); {
+			case random.IntN(8) == 0:
+				var b bytes.Buffer
+				if err := m.Snapshot().WriteSnapshot(&b); err != nil {
+					r.Fatal(err)
+				}
+				m = New(&disk.Spill{Dir: t.TempDir()})
+				if err := m.Restore(memory{bytes.NewReader(b.Bytes())}, 0); err != nil {
+					r.Fatal(err)
+				}
+			case m.jobs["j"].items[i].state == Pending:
+				ref := leaseItem(m, i)
+				complete(m, Outcome{Ref: ref, OK: random.IntN(3) > 0, Verdict: rhubarbgate.Ran, Permanent: random.IntN(2) == 0, Output: []byte(fmt.Sprint("out ", i))})
+			case random.IntN(30) == 0:
+				m.Apply(&Command{At: submittedAt, GiveUp: &GiveUp{Job: "j"}})
+			}
+			p, err := m.Results("j", "w", 0, 1<<20)
+			if err != nil || p.Total != n || p.Next != len(p.Results) {
+				r.Fatalf("%+v %v", p, err)
+			}
+			ids := map[string]bool{}
+			for k, x := range p.Results {
+				if ids[x.ID] {
+					r.Fatalf("%s is listed twice", x.ID)
+				}
+				ids[x.ID] = true
+				if k < len(seen) && (x.ID != seen[k].ID || x.Done != seen[k].Done || string(x.Output) != string(seen[k].Output)) {
+					r.Fatalf("position %d changed from %+v to %+v", k, seen[k], x)
+				}
+			}
+			if len(p.Results) < len(seen) {
+				r.Fatalf("%d results became %d", len(seen), len(p.Results))
+			}
+			seen = p.Results
+		}
+	})
+}
