--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -22,6 +23,12 @@
 const (
 	// fleetDialTimeout bounds a new connection between the fleet's processes.
 	fleetDialTimeout = 600 * time.Millisecond
+	// besideListInterval is how often a side reads the list, to learn which
+	// instance its target is and whether that leaves.
+	besideListInterval = 2 * time.Second
+	// gcPercent keeps the heaps of the daemons small: they are a few megabytes, so
+	// collecting more often costs little.
+	gcPercent = 30
 	// listDialTimeout bounds a new connection to the platform's list.
 	listDialTimeout = time.Second
 )
@@ -69,6 +76,7 @@
 	if err := k.err(); err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	d.Wire.Dialer = socket.Dialer(fleetDialTimeout)
 	d.Wire.Traffic = wire.NewTraffic(d.Metrics)
 	if err := serveDebug(e.debug); err != nil {
@@ -98,7 +106,7 @@
 		Probe: &platform.Engine{Client: &target.Client{Address: t, Dialer: socket.Dialer(fleetDialTimeout)}},
 	}
 	h.Targets = &discovery.Table{
-		Directory: s.direct.directory(&k), Clock: h.Clock, Logger: h.Logger, AvailabilityZone: s.zone,
+		Directory: s.direct.directory(&k), Clock: h.Clock, Logger: h.Logger, AvailabilityZone: s.zone, Interval: besideListInterval,
 		Failures: newCounter(h.Metrics, "ListFailures"), Unreadable: newCounter(h.Metrics, "ListEntriesUnreadable"),
 		Opened: newCounter(h.Metrics, "TargetConnections"), Ejections: newCounter(h.Metrics, "TargetsEjected"),
 	}
@@ -107,6 +115,7 @@
 	if err := k.err(); err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	h.Traffic = wire.NewTraffic(h.Metrics)
 	if err := serveDebug(s.debug); err != nil {
 		return err
--- a/internal/command/rhubarbgate/store.go
+++ b/internal/command/rhubarbgate/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -78,6 +79,7 @@
 	if err := k.err(); err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	h.Traffic = wire.NewTraffic(h.Metrics)
 	if err := serveDebug(s.debug); err != nil {
 		return err
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// listInterval is how often the list is read. A leaving target has to be out
-	// of the choice within seconds after the list shows it.
-	listInterval = 900 * time.Millisecond
+	// ListInterval is how often an entry reads the list. A leaving target has to
+	// be out of the choice within seconds after the list shows it.
+	ListInterval = time.Second
 	// listTimeout bounds one reading of the list.
 	listTimeout = 1500 * time.Millisecond
 	// dialTimeout bounds a new connection to a target: far above the round trip
@@ -45,6 +45,8 @@
 	Clock            clockwork.Clock
 	Logger           log.Interface
 	AvailabilityZone string
+	// Interval is how often the list is read.
+	Interval time.Duration
 	// Failures counts readings that failed, Unreadable entries that were passed
 	// over, Opened new connections to targets, Ejections targets taken out.
 	Failures, Unreadable, Opened, Ejections *expvar.Int
@@ -92,7 +94,7 @@
 		t.Refresh(ctx)
 		select {
 		case <-ctx.Done():
-		case <-t.Clock.After(listInterval):
+		case <-t.Clock.After(t.Interval):
 		}
 	}
 }
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -79,7 +79,7 @@
 	}
 	d.Metrics.Set("ConfigVersion", expvar.Func(func() any { return watcher.Current().Version }))
 	table := &discovery.Table{
-		Directory: d.Directory, Clock: d.Clock, Logger: d.Logger, AvailabilityZone: d.AvailabilityZone,
+		Directory: d.Directory, Clock: d.Clock, Logger: d.Logger, AvailabilityZone: d.AvailabilityZone, Interval: discovery.ListInterval,
 		Failures: d.counter("ListFailures"), Unreadable: d.counter("ListEntriesUnreadable"),
 		Opened: d.counter("TargetConnections"), Ejections: d.counter("TargetsEjected"),
 	}
