Agreement: bootstrap a replica that already has its leader's first entries

Ruled out: lost state on disk; wiped disks come back under another ID. Change: a replica whose log begins at 0 and knows no membership takes the first one below the entries that it has; a membership that came meanwhile is no failure.

--- a/internal/consensus/raft/bootstrap_test.go
+++ b/internal/consensus/raft/bootstrap_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
 )
 
 // slowLog holds an Append until it is released, and notes a Reset meanwhile.
@@ -71,3 +73,35 @@
 	qt.Assert(t, l.collided.Load(), qt.IsFalse)
 	qt.Assert(t, g.Status().Term, qt.Equals, uint64(5), qt.Commentf("the term that was persisted is kept"))
 }
+
+// TestBootstrapBehindFirstEntries answers kitabeat-serve fresh-91ca: the leader of
+// a group that the others had bootstrapped sent its first entry to a replica that
+// had not been yet. The bootstrap failed, and so did every restart.
+func TestBootstrapBehindFirstEntries(t *testing.T) {
+	l := &fakeLog{}
+	self := Member{ID: 1, Incarnation: 1, Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	leader := Member{ID: 2, Incarnation: 2, Address: netip.MustParseAddrPort("127.0.0.1:2")}
+	open := func() *Group {
+		g := &Group{
+			Self: self, Clock: clockwork.NewFakeClock(), Random: rand.New(rand.NewPCG(1, 1)), Log: l, Snapshots: &fakeSnapshots{},
+			Transport: noTransport{}, Machine: &register{values: map[byte]uint64{}}, Logger: &log.Logger{Handler: discard.New()},
+			ElectionMin: time.Second, Heartbeat: 100 * time.Millisecond,
+		}
+		qt.Assert(t, g.Open(), qt.IsNil)
+		return g
+	}
+	g := open()
+	g.Receive(Message{Kind: Append, From: 2, FromIncarnation: 2, To: 1, Term: 3, Commit: 1, Entries: []Entry{{Term: 3, Index: 1, Kind: EntryNoop}}})
+	qt.Assert(t, g.Poll(), qt.IsNil)
+	members := Members{self, leader}
+	for range 2 {
+		g = open() // the process may end in between
+		if len(g.Status().Members) == 0 {
+			qt.Assert(t, g.Bootstrap(members), qt.IsNil)
+		}
+		qt.Assert(t, slices.Equal(g.Status().Members, members), qt.IsTrue)
+		qt.Assert(t, g.Status().Last, qt.Equals, uint64(1))
+		qt.Assert(t, g.Status().Term, qt.Equals, uint64(3))
+	}
+	qt.Assert(t, g.Bootstrap(members), qt.ErrorIs, errors.AlreadyExists)
+}
--- a/internal/consensus/raft/group.go
+++ b/internal/consensus/raft/group.go
@@ -175,19 +175,24 @@
 	return s, errors.Trace(g.Log.Reset(s))
 }
 
-// Bootstrap puts the first membership in force on a replica without state.
+// Bootstrap puts the first membership in force on a replica whose log does not
+// know it. Entries that a quicker member's leader has sent already are kept.
 func (g *Group) Bootstrap(m Members) error {
 	g.driving.Lock()
 	defer g.driving.Unlock()
-	if g.core.entries.last() > 0 || len(g.core.members) > 0 {
-		return errors.AlreadyExistsf("state of group %d", g.ID)
+	c := g.core
+	if c.entries.base.Index > 0 || len(c.members) > 0 {
+		return errors.AlreadyExistsf("membership of group %d", g.ID)
+	}
+	s := Stored{
+		HardState: HardState{Term: c.term, Vote: c.vote}, Base: SnapshotMeta{Members: m}, Entries: c.entries.entries,
 	}
-	// Messages of members that were quicker may have raised the term.
-	s := Stored{HardState: HardState{Term: g.core.term, Vote: g.core.vote}, Base: SnapshotMeta{Members: m}}
 	if err := g.Log.Reset(s); err != nil {
 		return errors.Trace(err)
 	}
-	g.core.start(s)
+	commit := c.commit
+	c.start(s)
+	c.commit = commit
 	g.publish()
 	return nil
 }
--- a/internal/role/replica/bootstrap.go
+++ b/internal/role/replica/bootstrap.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -131,7 +133,7 @@
 		if len(g.Status().Members) > 0 {
 			continue
 		}
-		if err := g.Bootstrap(m); err != nil {
+		if err := g.Bootstrap(m); err != nil && !errors.Is(err, errors.AlreadyExists) {
 			h.fail(err)
 			return
 		}
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
@@ -154,7 +155,8 @@
 		if !ok || self.Incarnation != h.identity.Incarnation {
 			continue
 		}
-		if err := l.group.Bootstrap(m); err != nil {
+		// A membership may have come with entries of the group's leader meanwhile.
+		if err := l.group.Bootstrap(m); err != nil && !errors.Is(err, errors.AlreadyExists) {
 			h.fail(err)
 			return
 		}
