Soak: real processes under kills, freezes, stops, drains and withdrawn keys

Items: an attempt is given up when its target is silent for 4 s. Test: TestSilentTargetIsGivenUp hung before.

--- a/internal/command/rhubarbgate/root.go
+++ b/internal/command/rhubarbgate/root.go
@@ -62,7 +62,7 @@
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &errUsage{[]string{err.Error()}} })
 	c.AddCommand(
-		newControl(), newStore(), newEntry(), newSide(), newDev(), newStandin(), newLoad(),
+		newControl(), newStore(), newEntry(), newSide(), newDev(), newStandin(), newLoad(), newSoak(),
 		newBundle(), newJob(), newStatus(), newMember(), newReport(), newCertificate(), newKey(),
 	)
 	return c
--- /dev/null
+++ b/internal/command/rhubarbgate/soak.go
@@ -0,0 +1,68 @@
+package rhubarbgate
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"rhubarbgate.example/rhubarbgate/internal/soak/fleet"
+)
+
+func newSoak() *cobra.Command {
+	var seed uint64
+	var seeds int
+	var duration time.Duration
+	var dir string
+	c := &cobra.Command{
+		Use:   "soak",
+		Short: "Runs a fleet of processes on loopback under random faults and checks what callers and targets see",
+		Args:  cobra.NoArgs,
+	}
+	f := c.Flags()
+	f.Uint64Var(&seed, "seed", 1, "first seed")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds to run, one after the other")
+	f.DurationVar(&duration, "duration", 20*time.Second, "how long faults come")
+	f.StringVar(&dir, "dir", "", "folder for data and logs; empty means a temporary one, which is kept if a promise was broken")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		binary, err := os.Executable()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if dir == "" {
+			if dir, err = os.MkdirTemp("", "rhubarbgate-soak"); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		broken := 0
+		for i := range uint64(seeds) {
+			sub := filepath.Join(dir, strconv.FormatUint(seed+i, 10))
+			if err := os.MkdirAll(sub, 0o700); err != nil {
+				return errors.Trace(err)
+			}
+			s := &fleet.Soak{Binary: binary, Dir: sub, Seed: seed + i, Duration: duration, Logger: newLogger(os.Stderr, "soak")}
+			r, err := s.Run(c.Context())
+			if err != nil {
+				return errors.Annotatef(err, "logs in %s", sub)
+			}
+			if err := printJSON(c, r); err != nil {
+				return err
+			}
+			if len(r.Broken) > 0 {
+				broken++
+				continue
+			}
+			if err := os.RemoveAll(sub); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		if broken > 0 {
+			return errors.Errorf("%d of %d seeds broke a promise; logs in %s", broken, seeds, dir)
+		}
+		return errors.Trace(os.RemoveAll(dir))
+	}
+	return c
+}
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
@@ -13,6 +16,13 @@
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
 
+// itemStall is how long the target of an item may be silent, before its first
+// event and between two: ten times the longest pause that streams aim at.
+const itemStall = 4 * time.Second
+
+// errStalled is the cause with which an attempt at a silent target is given up.
+const errStalled = errors.ConstError("the target of the item is silent")
+
 // lastEventHeader names the event behind which a stream goes on, as server-sent
 // events define it.
 const lastEventHeader = "Last-Event-Id"
@@ -84,6 +94,10 @@
 	if t.output.LastID != "" {
 		q.Headers = append(q.Headers, rhubarbgate.Header{Name: lastEventHeader, Value: t.output.LastID})
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(context.Canceled)
+	stalled := w.clock.AfterFunc(itemStall, func() { cancel(errStalled) })
+	defer stalled.Stop()
 	a, err := h.engine.Do(ctx, q)
 	if err != nil {
 		return rhubarbgate.AsError(err)
@@ -92,7 +106,7 @@
 	if e := w.judge(a, item.ID); e != nil {
 		return e
 	}
-	return t.output.read(a)
+	return t.output.read(a, func() { stalled.Reset(itemStall) })
 }
 
 // judge classifies the head of an item's answer.
@@ -114,8 +128,8 @@
 	}
 }
 
-// read adds the events of an answer up to its whole end.
-func (o *output) read(a *target.Answer) *rhubarbgate.Error {
+// read adds the events of an answer up to its whole end, and tells of each.
+func (o *output) read(a *target.Answer, event func()) *rhubarbgate.Error {
 	r := events.NewReader(a)
 	for {
 		e, err := r.Next()
@@ -125,6 +139,7 @@
 		if err != nil {
 			return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target's answer broke off: %v", err)
 		}
+		event()
 		if o.LastID != "" || len(o.Text) > 0 {
 			o.Text = append(o.Text, '\n')
 		}
--- /dev/null
+++ b/internal/role/side/stream_test.go
@@ -0,0 +1,109 @@
+package side
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
+	"rhubarbgate.example/rhubarbgate/platform"
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
+)
+
+// beside returns the worker of a side beside an emulated target, and a task.
+func beside(t *testing.T, x *platformtest.Target, clock clockwork.Clock) (*worker, *task) {
+	x.Instance, x.Service, x.Zone, x.Slots, x.Events = "i-1", "lm", "z", 8, 10
+	qt.Assert(t, x.Start(), qt.IsNil)
+	t.Cleanup(x.Close)
+	list := &platformtest.List{Targets: []*platformtest.Target{x}}
+	qt.Assert(t, list.Start(), qt.IsNil)
+	t.Cleanup(list.Close)
+	logger := &log.Logger{Handler: discard.New()}
+	h := &Host{
+		Target: x.Address(), Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logger: logger, Metrics: new(expvar.Map).Init(),
+		Dialect: platform.Dialect{}, Probe: &platform.Engine{}, MaxAge: time.Hour,
+		Targets: &discovery.Table{
+			Directory: &platform.Directory{Client: &target.Client{Address: list.Address()}}, Clock: clock, Logger: logger,
+			Failures: new(expvar.Int), Unreadable: new(expvar.Int),
+		},
+	}
+	h.open()
+	h.Targets.Refresh(context.Background())
+	s := rhubarbgate.Section{Routes: []rhubarbgate.Route{{Name: "r", Kind: rhubarbgate.BatchJob, Path: rhubarbgate.Path{Host: "h", Prefix: "/b/"}}}}
+	c := config.FromSection(1, nil, s)
+	h.watcher = &configuration.Watcher{Clock: clock, Logger: logger}
+	h.watcher.Take(&control.PollReply{Version: 1, Sum: c.Sum, Section: &s}, clock.Now())
+	line, err := wire.Marshal(&rhubarbgate.JobItem{ID: "item", Path: "/b/x"})
+	qt.Assert(t, err, qt.IsNil)
+	return h.worker, &task{grant: jobs.Grant{Workspace: "w", Needs: "r", Line: line}, ctx: context.Background()}
+}
+
+// TestItemGoesOnBehindItsLastEvent checks that a cut stream is continued and
+// its output is whole.
+func TestItemGoesOnBehindItsLastEvent(t *testing.T) {
+	x := &platformtest.Target{Fault: func(_ string, n int) platformtest.Fault {
+		if n == 1 {
+			return platformtest.CutStream
+		}
+		return platformtest.None
+	}}
+	w, task := beside(t, x, clockwork.NewRealClock())
+	err := w.stream(context.Background(), task)
+	qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
+	qt.Assert(t, task.output.LastID, qt.Equals, "5")
+	task.output = decodeOutput(task.output.encode())
+	qt.Assert(t, w.stream(context.Background(), task) == nil, qt.IsTrue)
+	qt.Assert(t, string(task.output.Text), qt.Equals, platformtest.Output("item", 10))
+	qt.Assert(t, x.Runs()[1].LastEvent, qt.Equals, "5")
+	qt.Assert(t, x.Runs()[1].Tenant, qt.Equals, "w")
+}
+
+func TestVerdictsOfItems(t *testing.T) {
+	tests := []struct {
+		fault   platformtest.Fault
+		verdict rhubarbgate.Verdict
+		code    rhubarbgate.Code
+	}{
+		{platformtest.Shed, rhubarbgate.NotRun, rhubarbgate.CodeUnavailable},
+		{platformtest.Lost, rhubarbgate.MayHaveRun, rhubarbgate.CodeUpstream},
+		{platformtest.Foreign, rhubarbgate.MayHaveRun, rhubarbgate.CodeUpstream},
+		{platformtest.Fail, rhubarbgate.Ran, rhubarbgate.CodeUpstream},
+		{platformtest.Never, rhubarbgate.Ran, rhubarbgate.CodeInvalid},
+	}
+	for _, x := range tests {
+		w, task := beside(t, &platformtest.Target{Fault: func(string, int) platformtest.Fault { return x.fault }}, clockwork.NewRealClock())
+		err := w.stream(context.Background(), task)
+		qt.Check(t, err.Verdict, qt.Equals, x.verdict)
+		qt.Check(t, err.Code, qt.Equals, x.code)
+	}
+}
+
+// TestSilentTargetIsGivenUp answers soak seed 1: an item whose target went silent
+// kept its lease for ever.
+func TestSilentTargetIsGivenUp(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	x := &platformtest.Target{Fault: func(string, int) platformtest.Fault { return platformtest.Silent }}
+	w, task := beside(t, x, clock)
+	done := make(chan *rhubarbgate.Error, 1)
+	go func() { done <- w.stream(context.Background(), task) }()
+	for len(x.Runs()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Advance(time.Minute)
+	err := <-done
+	qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
+}
