--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -27,6 +27,8 @@
 	// maxDropped is how often a preempted item is kept at this side before it is
 	// returned, so that a busy side does not hold on to it.
 	maxDropped = 20
+	// failedPause is how long an item rests after an attempt that the target broke.
+	failedPause = 100 * time.Millisecond
 	// keepWaiting is how long a preempted item waits for room beside the same
 	// target: a few probes.
 	keepWaiting = 120 * time.Millisecond
@@ -47,6 +49,8 @@
 		w.requeue(ctx, t)
 	case t.ctx.Err() != nil:
 		// The lease was lost: nobody waits for the outcome.
+	case w.host.Probe != nil && !o.OK && !o.Permanent && o.Verdict != rhubarbgate.Ran:
+		w.returnLater(ctx, t)
 	default:
 		w.done(t, o)
 	}
@@ -108,6 +112,20 @@
 	})
 }
 
+// returnLater returns an item whose attempt failed for no fault of its own, after
+// a pause that keeps a broken target from being asked again and again.
+func (w *worker) returnLater(ctx context.Context, t *task) {
+	select {
+	case <-ctx.Done():
+	case <-w.clock.After(failedPause):
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.held[t.grant.Ref] == t {
+		w.giveBack(t)
+	}
+}
+
 // giveBackWaiting returns items that found no room here for a while, or at once
 // if the target is gone, so that other sides can go on with them.
 func (w *worker) giveBackWaiting() {
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -403,7 +403,7 @@
 		case 4:
 			s.restart(s.pick(s.all()), syscall.SIGTERM)
 		case 5:
-			s.replaceTarget()
+			s.bounceTarget()
 		case 6:
 			version += 1 + s.random.Uint64N(4)
 			s.changeKeys(ctx, version)
@@ -457,16 +457,16 @@
 	p.signal(syscall.SIGCONT)
 }
 
-// replaceTarget lets a target crash; another instance follows elsewhere, without a side.
-func (s *Soak) replaceTarget() {
-	s.list.Set(nil)
-	i := s.random.IntN(targetCount)
-	s.Logger.WithField("target", s.targets[i].Instance).Info("drain")
-	s.targets[i].Drain()
+// bounceTarget lets a target leave the list for a while, as one that drains.
+func (s *Soak) bounceTarget() {
+	t := s.targets[s.random.IntN(targetCount)]
+	s.Logger.WithField("target", t.Instance).Info("drain")
 	s.mu.Lock()
 	s.faults++
 	s.mu.Unlock()
-	s.list.Set(s.targets)
+	t.Drain(true)
+	time.Sleep(time.Duration(500+s.random.IntN(3000)) * time.Millisecond)
+	t.Drain(false)
 }
 
 // changeKeys withdraws a key of the tenants or gives it back.
