Discovery: control hosts read the list of targets for all daemons

Ruled out: reading more rarely, since a leaving target has to be out within 3 s. Test: TestListNeverGoesBack.

--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -23,9 +23,6 @@
 const (
 	// fleetDialTimeout bounds a new connection between the fleet's processes.
 	fleetDialTimeout = 600 * time.Millisecond
-	// besideListInterval is how often a side reads the list, to learn which
-	// instance its target is and whether that leaves.
-	besideListInterval = 2 * time.Second
 	// gcPercent keeps the heaps of the daemons small: they are a few megabytes, so
 	// collecting more often costs little.
 	gcPercent = 30
@@ -58,9 +55,12 @@
 }
 
 func (d *directFlags) directory(k *checks) *platform.Directory {
-	return &platform.Directory{Client: &target.Client{
-		Address: k.address("target-list", d.list), Dialer: socket.Dialer(listDialTimeout),
-	}}
+	return listedAt(k.address("target-list", d.list))
+}
+
+// listedAt returns the platform's list of targets at an address.
+func listedAt(a netip.AddrPort) *platform.Directory {
+	return &platform.Directory{Client: &target.Client{Address: a, Dialer: socket.Dialer(listDialTimeout)}}
 }
 
 // runDirect runs an entry whose requests go straight to the listed targets.
@@ -106,7 +106,7 @@
 		Probe: &platform.Engine{Client: &target.Client{Address: t, Dialer: socket.Dialer(fleetDialTimeout)}},
 	}
 	h.Targets = &discovery.Table{
-		Directory: s.direct.directory(&k), Clock: h.Clock, Logger: h.Logger, AvailabilityZone: s.zone, Interval: besideListInterval,
+		Directory: s.direct.directory(&k), Clock: h.Clock, Logger: h.Logger, AvailabilityZone: s.zone,
 		Failures: newCounter(h.Metrics, "ListFailures"), Unreadable: newCounter(h.Metrics, "ListEntriesUnreadable"),
 		Opened: newCounter(h.Metrics, "TargetConnections"), Ejections: newCounter(h.Metrics, "TargetsEjected"),
 	}
--- a/internal/command/rhubarbgate/store.go
+++ b/internal/command/rhubarbgate/store.go
@@ -24,6 +24,7 @@
 // seedFlags are the settings of hosts that find each other from seeds.
 type seedFlags struct {
 	data, listen, operator, seeds, debug, name, zone string
+	targets                                          string
 	fleetPort                                        uint16
 	bootstrap                                        bool
 	losses, groups                                   int
@@ -39,6 +40,7 @@
 	f.IntVar(&s.groups, "store-groups", defaultStoreGroups, "job groups of the store hosts, the same for ever, with --seeds")
 	f.StringVar(&s.name, "host-name", "", "name of this host, with --seeds")
 	f.StringVar(&s.zone, "availability-zone", "", "this host's availability zone, as ZONE or REGION/ZONE")
+	f.StringVar(&s.targets, "target-list", "", "IP:PORT of the platform's list of targets, which a control host reads for all daemons; empty means none")
 	f.DurationVar(&s.retention, "retention", 0, "how long ended jobs are kept; 0 means 48 hours")
 }
 
@@ -76,6 +78,9 @@
 	if store {
 		h.JobGroups = s.groups
 	}
+	if s.targets != "" {
+		h.Directory = listedAt(k.address("target-list", s.targets))
+	}
 	if err := k.err(); err != nil {
 		return err
 	}
--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -34,6 +34,8 @@
 	Backlog() []string
 	// Peers lists the hosts that keep replicated state.
 	Peers() control.Peers
+	// Targets returns the platform's list of targets and when it was asked for.
+	Targets() (list control.TargetList, at time.Time)
 }
 
 // Register answers polls of other daemons from s.
@@ -45,7 +47,7 @@
 
 func answer(ctx context.Context, s Source, clock clockwork.Clock, p *control.Poll) *control.PollReply {
 	changed := s.Changed()
-	if s.Current().Version <= p.Version && p.Wait > 0 {
+	if list, _ := s.Targets(); s.Current().Version <= p.Version && list.Digest == p.Targets && p.Wait > 0 {
 		t := clock.NewTimer(min(p.Wait, maxPollWait))
 		defer t.Stop()
 		select {
@@ -58,6 +60,7 @@
 	age := clock.Now().Sub(s.Fresh())
 	c := s.Current()
 	r := &control.PollReply{Version: c.Version, Digest: c.Digest, Sum: c.Sum, Age: age, Groups: s.Groups(), Backlog: s.Backlog(), Peers: s.Peers()}
+	r.Targets = targets(s, clock, p)
 	if c.Version <= p.Version {
 		return r
 	}
@@ -73,6 +76,19 @@
 	return r
 }
 
+// targets returns the list of targets, without its content if the asker holds it.
+func targets(s Source, clock clockwork.Clock, p *control.Poll) *control.TargetList {
+	list, at := s.Targets()
+	if list.Digest == 0 {
+		return nil
+	}
+	list.Age = clock.Now().Sub(at)
+	if list.Digest == p.Targets {
+		list.Instances = nil
+	}
+	return &list
+}
+
 // Notifier hands out channels that are closed at the next event.
 type Notifier struct {
 	mu sync.Mutex
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -47,6 +47,9 @@
 	Applied func(*config.Config)
 	// Met is called, if set, with the peers that an answer names.
 	Met func(control.Peers)
+	// Listed is called, if set, with the list of targets that an answer carries or
+	// confirms, and when it was asked for.
+	Listed func(list []rhubarbgate.Instance, at time.Time)
 
 	mu       sync.RWMutex
 	current  *config.Config
@@ -55,6 +58,8 @@
 	groups   int
 	backlog  []string
 	peers    control.Peers
+	targets  control.TargetList
+	listedAt time.Time
 	resync   bool
 	notifier Notifier
 }
@@ -111,7 +116,8 @@
 
 // poll asks one parent and reports whether its answer was of use.
 func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort) bool {
-	p := &control.Poll{Version: w.version(), Wait: pollWait}
+	list, _ := w.Targets()
+	p := &control.Poll{Version: w.version(), Wait: pollWait, Targets: list.Digest}
 	if w.Groups() == 0 {
 		p.Wait = 0
 	}
@@ -148,6 +154,7 @@
 		return false
 	}
 	w.groups = r.Groups
+	listed := w.takeTargets(r.Targets, sent)
 	if len(r.Peers.Controls) > 0 {
 		w.peers = r.Peers
 		if w.Met != nil {
@@ -163,12 +170,40 @@
 	if changed && w.Applied != nil {
 		w.Applied(w.current)
 	}
-	if changed || more {
+	if changed || more || listed {
 		w.notifier.Notify()
 	}
 	return r.Age < usefulAge
 }
 
+// takeTargets takes a list of targets that is not older than the one held, and
+// reports whether it differs. The lock is held.
+func (w *Watcher) takeTargets(list *control.TargetList, sent time.Time) bool {
+	if list == nil {
+		return false
+	}
+	at := sent.Add(-list.Age)
+	if !at.After(w.listedAt) {
+		return false
+	}
+	changed := list.Digest != w.targets.Digest
+	if changed {
+		w.targets = *list
+	}
+	w.listedAt = at
+	if w.Listed != nil {
+		w.Listed(w.targets.Instances, at)
+	}
+	return changed
+}
+
+// Targets implements Source.
+func (w *Watcher) Targets() (control.TargetList, time.Time) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.targets, w.listedAt
+}
+
 // advance moves to the version of the reply if it is higher.
 func (w *Watcher) advance(r *control.PollReply) bool {
 	switch {
--- a/internal/controller/configuration/watcher_test.go
+++ b/internal/controller/configuration/watcher_test.go
@@ -108,3 +108,25 @@
 	c.Assert(clock.Now().Sub(child.Fresh()), qt.Equals, 4*time.Second)
 	c.Assert(child.Current().Sum, qt.Equals, versions[3].Sum)
 }
+
+// TestListNeverGoesBack checks that a daemon which moves between control hosts
+// that read the list of targets at different times takes only newer lists.
+func TestListNeverGoesBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	w := newWatcher(clock)
+	var got []string
+	w.Listed = func(l []rhubarbgate.Instance, _ time.Time) { got = append(got, l[0].ID) }
+	list := func(id string, digest uint64, age time.Duration) *control.PollReply {
+		return &control.PollReply{Groups: 1, Targets: &control.TargetList{Digest: digest, Age: age, Instances: []rhubarbgate.Instance{{ID: id}}}}
+	}
+	w.Take(list("old", 1, time.Second), clock.Now())
+	clock.Advance(time.Second)
+	w.Take(list("new", 2, 0), clock.Now())
+	w.Take(list("old", 1, 500*time.Millisecond), clock.Now())
+	// A confirmation without content keeps the list and makes it young.
+	clock.Advance(time.Second)
+	w.Take(&control.PollReply{Groups: 1, Targets: &control.TargetList{Digest: 2}}, clock.Now())
+	qt.Assert(t, got, qt.DeepEquals, []string{"old", "new", "new"})
+	_, at := w.Targets()
+	qt.Assert(t, at, qt.Equals, clock.Now())
+}
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -22,9 +22,11 @@
 )
 
 const (
-	// ListInterval is how often an entry reads the list. A leaving target has to
-	// be out of the choice within seconds after the list shows it.
-	ListInterval = time.Second
+	// staleList is the age of the list above which a process reads it by itself,
+	// because the control hosts do not tell it; staleCheck is how often it looks.
+	// A leaving target has to be out of the choice within seconds.
+	staleList  = 2200 * time.Millisecond
+	staleCheck = 700 * time.Millisecond
 	// listTimeout bounds one reading of the list.
 	listTimeout = 1500 * time.Millisecond
 	// dialTimeout bounds a new connection to a target: far above the round trip
@@ -45,8 +47,6 @@
 	Clock            clockwork.Clock
 	Logger           log.Interface
 	AvailabilityZone string
-	// Interval is how often the list is read.
-	Interval time.Duration
 	// Failures counts readings that failed, Unreadable entries that were passed
 	// over, Opened new connections to targets, Ejections targets taken out.
 	Failures, Unreadable, Opened, Ejections *expvar.Int
@@ -55,7 +55,7 @@
 	once    sync.Once
 	mu      sync.RWMutex
 	targets map[key]*Target
-	read    atomic.Bool
+	at      time.Time // when the list was asked for; zero means never
 }
 
 // key names a target: an instance keeps its identifier over a restart at times.
@@ -87,23 +87,33 @@
 	})
 }
 
-// Run reads the list until ctx ends.
+// Run reads the list whenever nobody else has told a fresh one, until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	t.prepare()
 	for ctx.Err() == nil {
-		t.Refresh(ctx)
+		if t.age() > staleList {
+			t.Refresh(ctx)
+		}
 		select {
 		case <-ctx.Done():
-		case <-t.Clock.After(t.Interval):
+		case <-t.Clock.After(staleCheck):
 		}
 	}
 }
 
+// age is how long ago the list was asked for.
+func (t *Table) age() time.Duration {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.Clock.Since(t.at)
+}
+
 // Refresh reads the list once.
 func (t *Table) Refresh(ctx context.Context) {
 	t.prepare()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	asked := t.Clock.Now()
 	list, unreadable, err := t.Directory.List(ctx)
 	if err != nil {
 		t.Failures.Add(1)
@@ -113,18 +123,26 @@
 		return
 	}
 	t.Unreadable.Add(int64(unreadable))
-	t.Update(list)
-	t.read.Store(true)
+	t.Update(list, asked)
 }
 
-// Ready reports whether the list has been read.
-func (t *Table) Ready() bool { return t.read.Load() }
+// Ready reports whether there is a list.
+func (t *Table) Ready() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return !t.at.IsZero()
+}
 
-// Update takes a new list. Targets that it lacks are gone.
-func (t *Table) Update(list []rhubarbgate.Instance) {
+// Update takes a list that was asked for at a time, unless a newer one is there.
+// Targets that it lacks are gone.
+func (t *Table) Update(list []rhubarbgate.Instance, at time.Time) {
 	t.prepare()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !at.After(t.at) {
+		return
+	}
+	t.at = at
 	listed := map[key]bool{}
 	for _, x := range list {
 		k := key{x.ID, x.Address}
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -62,6 +62,16 @@
 	return rand.New(rand.NewPCG(d.Random.Uint64(), stream))
 }
 
+// table returns the table of targets. It takes the list from the control hosts,
+// and reads it by itself while they do not tell it.
+func (d *Direct) table() *discovery.Table {
+	return &discovery.Table{
+		Directory: d.Directory, Clock: d.Clock, Logger: d.Logger, AvailabilityZone: d.AvailabilityZone,
+		Failures: d.counter("ListFailures"), Unreadable: d.counter("ListEntriesUnreadable"),
+		Opened: d.counter("TargetConnections"), Ejections: d.counter("TargetsEjected"),
+	}
+}
+
 // Run serves until ctx ends; then it finishes the requests under way and stops.
 func (d *Direct) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -69,8 +79,10 @@
 	name := strconv.FormatUint(d.Random.Uint64(), 36)
 	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
 	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
+	table := d.table()
 	watcher := &configuration.Watcher{
-		Wire: d.Wire, Parents: d.Control, Clock: d.Clock, Random: d.random(1), Logger: d.Logger,
+		Listed: table.Update,
+		Wire:   d.Wire, Parents: d.Control, Clock: d.Clock, Random: d.random(1), Logger: d.Logger,
 		Failures: d.counter("ConfigPollFailures"),
 		Met: func(p control.Peers) {
 			controls.Update(p.Controls)
@@ -78,11 +90,6 @@
 		},
 	}
 	d.Metrics.Set("ConfigVersion", expvar.Func(func() any { return watcher.Current().Version }))
-	table := &discovery.Table{
-		Directory: d.Directory, Clock: d.Clock, Logger: d.Logger, AvailabilityZone: d.AvailabilityZone, Interval: discovery.ListInterval,
-		Failures: d.counter("ListFailures"), Unreadable: d.counter("ListEntriesUnreadable"),
-		Opened: d.counter("TargetConnections"), Ejections: d.counter("TargetsEjected"),
-	}
 	exchange := &limits.Exchange{
 		Holder: &limit.Holder{Clock: d.Clock}, Client: controls, Clock: d.Clock, Name: name,
 		Groups: watcher.Groups, Exchanges: d.counter("LimitExchanges"),
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -108,6 +108,9 @@
 	// 0 means 48 hours.
 	Retention time.Duration
 
+	// Directory reads the platform's list of targets, for the daemons that poll
+	// this host; nil means that there is none.
+	Directory rhubarbgate.Directory
 	// Met is called, if set, with the control hosts that are known.
 	Met func([]netip.AddrPort)
 
@@ -116,6 +119,7 @@
 	watcher   *configuration.Watcher // on store hosts
 	roster    roster
 	fleet     *fleet.Machine // nil on store hosts
+	targets   atomic.Pointer[readList]
 	groups    []*raft.Group
 	shards    []*leadership // by group, from 1
 	transport *peer.Transport
@@ -252,6 +256,9 @@
 	} else {
 		tasks.Go(func() { h.bootstrap(work) })
 	}
+	if h.Directory != nil {
+		tasks.Go(func() { h.readTargets(work) })
+	}
 	if h.client != nil {
 		tasks.Go(func() { h.register(work) })
 	}
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -167,6 +167,7 @@
 	}
 	if h.Probe != nil {
 		h.watcher.Met = func(p control.Peers) { h.control.Update(p.Stores) }
+		h.watcher.Listed = h.Targets.Update
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
 	h.keeper = &gatekeeper.Gatekeeper{Clock: h.Clock, Gate: h.gate(), Yielded: h.counts.noteYield}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -61,6 +61,8 @@
 type Poll struct {
 	Version uint64
 	Wait    time.Duration
+	// Targets is the digest of the list of targets that the asker holds.
+	Targets uint64 `msgpack:",omitempty"`
 }
 
 // PollReply carries the bundles behind the polled version or, if they are no
@@ -80,6 +82,17 @@
 	// sides need not ask for leases in vain.
 	Backlog []string `msgpack:",omitempty"`
 	Peers   Peers    `msgpack:",omitempty"`
+	Targets *TargetList
+}
+
+// TargetList is the platform's list of targets as a control host read it.
+type TargetList struct {
+	// Digest is 0 as long as no list was read.
+	Digest uint64
+	// Age is how long ago the list was asked for.
+	Age time.Duration
+	// Instances is empty if the asker holds the same list.
+	Instances []rhubarbgate.Instance
 }
 
 // Peers are the hosts that keep replicated state, as the answering host knows them.
--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -132,7 +132,7 @@
 		"--fleet-port", strconv.Itoa(fleetPort), "--host-name", fmt.Sprintf("%s-%d", role, i), "--availability-zone", zone(i), "--store-groups", "2",
 	}
 	if role == "control" {
-		args = append(args, "--operator", at(a, operatorPort), "--bootstrap=true")
+		args = append(args, "--operator", at(a, operatorPort), "--target-list", l.list.String(), "--bootstrap=true")
 	}
 	return l.process(role, i, a, args...)
 }
