--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -39,8 +39,8 @@
 	rosterAge = 1500 * time.Millisecond
 	// commitTimeout bounds the commit of a change of the roster.
 	commitTimeout = 2 * time.Second
-	// forgetHosts is the silence after which a host without replicas is forgotten.
-	forgetHosts = time.Minute
+	// forgetAfter is the silence after which a host without replicas is forgotten.
+	forgetAfter = 15 * time.Second
 )
 
 // roster is what a host knows of the others.
@@ -246,6 +246,10 @@
 	if first != nil {
 		h.commitFleet(ctx, &fleet.Command{First: first})
 	}
+	if gone, ok := h.forgettable(now); ok {
+		h.Logger.WithFields(log.Fields{"host": gone.Name, "address": gone.Address().String()}).Info("host forgotten")
+		h.commitFleet(ctx, &fleet.Command{Drop: gone.Member.ID})
+	}
 	return &control.RegisterReply{Hosts: h.hostStates(now), First: h.fleet.First()}, nil
 }
 
@@ -310,6 +314,32 @@
 	return list
 }
 
+// forgettable returns a host that has been silent for long and is no member of
+// any group, so that callers no longer try it. A retiring host stays until its
+// operator has seen that it is empty.
+func (h *Host) forgettable(now time.Time) (fleet.HostRecord, bool) {
+	for _, x := range h.hostStates(now) {
+		id := x.Record.Member.ID
+		if x.Silent < forgetAfter || x.Record.Retiring {
+			continue
+		}
+		if x.Record.Kind == fleet.StoreHost && h.emptied(id) || x.Record.Kind == fleet.ControlHost && !h.isMember(id) {
+			return x.Record, true
+		}
+	}
+	return fleet.HostRecord{}, false
+}
+
+// isMember reports whether a host is a member of a group of the control hosts.
+func (h *Host) isMember(id uint64) bool {
+	for g := range h.running() {
+		if _, ok := g.Status().Members.Find(id); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // document answers with the configuration as its operator sent it.
 func (h *Host) document(ctx context.Context, _ *control.Document) (*control.DocumentReply, error) {
 	moved, err := barrier(ctx, h.groups[control.FleetGroup])
--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -34,7 +34,6 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	frozen  bool
 }
 
 // start runs the program until it is stopped.
@@ -52,7 +51,7 @@
 		return errors.Trace(err)
 	}
 	exited := make(chan struct{})
-	p.command, p.exited, p.frozen = c, exited, false
+	p.command, p.exited = c, exited
 	go func() {
 		// The way it ended is known to whoever ended it.
 		_ = c.Wait()
@@ -73,19 +72,6 @@
 	}
 	// An error means that the process has just ended.
 	_ = p.command.Process.Signal(s)
-	p.frozen = s == syscall.SIGSTOP
-}
-
-// running reports whether the program runs, and whether it is frozen.
-func (p *process) running() (runs, frozen bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.exited:
-		return false, false
-	default:
-		return true, p.frozen
-	}
 }
 
 // stop ends the program: with SIGTERM, and with SIGKILL after the grace.
