--- a/cmd/rhubarbgate/fleet_test.go
+++ b/cmd/rhubarbgate/fleet_test.go
@@ -8,13 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -67,12 +68,13 @@
 	controls  int
 	entries   int
 	targets   int
+	network   byte
 }
 
 func newFleet(t *testing.T, controls, entries, targets int) *fleet {
 	f := &fleet{
 		t: t, dir: t.TempDir(), ports: map[string]string{}, arguments: map[string][]string{}, processes: map[string]*exec.Cmd{},
-		controls: controls, entries: entries, targets: targets,
+		controls: controls, entries: entries, targets: targets, network: byte(networks.Add(1)),
 	}
 	public, private, err := ed25519.GenerateKey(nil)
 	qt.Assert(t, err, qt.IsNil)
@@ -108,15 +110,19 @@
 	return []string{"--certificate", f.path(role + ".crt"), "--key", f.path(role + ".key"), "--authority", f.path("authority.crt")}
 }
 
-// address reserves a port for a process.
+// networks numbers the fleets of this process, and testPort is the port of all
+// their processes: each process has a loopback address of its own, so that no
+// port has to be reserved and freed again.
+var networks atomic.Uint32
+
+const testPort = 17100
+
+// address returns the address of a process.
 func (f *fleet) address(name string) string {
 	if a, ok := f.ports[name]; ok {
 		return a
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(f.t, err, qt.IsNil)
-	defer l.Close()
-	f.ports[name] = l.Addr().String()
+	f.ports[name] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(100 + os.Getpid()%100), f.network, byte(len(f.ports) + 1)}), testPort).String()
 	return f.ports[name]
 }
 
--- a/internal/role/dev/fleet.go
+++ b/internal/role/dev/fleet.go
@@ -92,6 +92,9 @@
 		defer os.RemoveAll(dir)
 		f.Data = dir
 	}
+	if err := os.MkdirAll(f.Data, 0o700); err != nil {
+		return errors.Annotate(err, "data folder")
+	}
 	if err := f.prepare(); err != nil {
 		return errors.Trace(err)
 	}
