--- a/internal/consensus/raft/election.go
+++ b/internal/consensus/raft/election.go
@@ -16,6 +16,9 @@
 	}
 	c.resetElection()
 	if c.voter() {
+		if c.phase == Follower {
+			c.logger.WithField("term", c.term).WithField("leader", c.leader).WithField("silent", now.Sub(c.contact).String()).Info("leader not heard, asking for votes")
+		}
 		c.campaign(PreCandidate, false)
 	}
 }
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -21,7 +21,7 @@
 	// short enough to ask another host before operators turn away after a second.
 	attemptTimeout = 600 * time.Millisecond
 	// avoidFor is how long a host that did not answer in time is passed over.
-	avoidFor = 2 * time.Second
+	avoidFor = time.Second
 	// retryPause is how long to wait when no host leads.
 	retryPause = 50 * time.Millisecond
 )
