--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -51,6 +51,9 @@
 	defaultHeartbeat = 70 * time.Millisecond
 	// snapshotBytes is the size of a group's log at which a snapshot is taken.
 	snapshotBytes = 16 << 20
+	// storeSnapshotBytes is the same on store hosts, whose logs hold the bodies of
+	// items in memory: a few seconds of a busy site.
+	storeSnapshotBytes = 4 << 20
 	// leadershipInterval is how often a host checks what it leads.
 	leadershipInterval = 50 * time.Millisecond
 	// backlogInterval is how often the backlog of batch items is looked at.
@@ -229,7 +232,7 @@
 		Machine:     m,
 		Logger:      h.Logger,
 		ElectionMin: defaultElection, Heartbeat: defaultHeartbeat, Drift: ClockDrift,
-		SnapshotBytes: snapshotBytes,
+		SnapshotBytes: h.snapshotBytes(),
 		MaxBatch:      h.MaxBatch,
 	}
 	if err := g.Open(); err != nil {
@@ -239,6 +242,13 @@
 	return nil
 }
 
+func (h *Host) snapshotBytes() int {
+	if h.Store {
+		return storeSnapshotBytes
+	}
+	return snapshotBytes
+}
+
 // Run serves until ctx ends. It then hands leadership over before it stops.
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
