--- a/internal/controller/batch/dispatcher.go
+++ b/internal/controller/batch/dispatcher.go
@@ -92,8 +92,8 @@
 	return d.Machine.Next(l.Job, needs)
 }
 
-// Holder returns the name under which the leases of a side's incarnation are kept.
-func Holder(side, incarnation string) string { return side + "#" + incarnation }
+// LeaseHolder returns the name under which the leases of a side's incarnation are kept.
+func LeaseHolder(side, incarnation string) string { return side + "#" + incarnation }
 
 // Arrived notes that a side asks for leases, and returns those that earlier
 // incarnations of it held: their work is lost.
@@ -105,7 +105,7 @@
 	}
 	d.sides[side] = incarnation
 	refs := d.Machine.HeldBy(func(h string) bool {
-		return strings.HasPrefix(h, Holder(side, "")) && h != Holder(side, incarnation)
+		return strings.HasPrefix(h, LeaseHolder(side, "")) && h != LeaseHolder(side, incarnation)
 	})
 	for _, r := range refs {
 		delete(d.deadlines, r)
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -48,6 +48,9 @@
 		return notRun(rhubarbgate.CodeNotFound, "no route for host %q and path %q", host, path)
 	}
 	x.Route = r
+	if l := x.Config.Limits; l != nil && l.BodyBytes > 0 && len(x.HTTP.Request.Body()) > l.BodyBytes {
+		return notRun(rhubarbgate.CodeTooLarge, "the body has %d bytes, more than %d", len(x.HTTP.Request.Body()), l.BodyBytes)
+	}
 	timeout := r.Timeout
 	if r.Kind == rhubarbgate.BatchJob || x.Call.Timeout > 0 && x.Call.Timeout < timeout {
 		timeout = x.Call.Timeout
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -43,6 +43,7 @@
 	source  *configuration.Watcher
 	targets []*platformtest.Target
 	list    *platformtest.List
+	limits  *rhubarbgate.CallerLimits
 }
 
 func newEntry(t *testing.T, targets ...*platformtest.Target) *entry {
@@ -92,6 +93,7 @@
 		Workspaces: []rhubarbgate.Workspace{{Name: "w", Unlimited: true}},
 		Keys:       []rhubarbgate.Key{{Digest: config.KeyDigest(secret), Workspace: "w"}},
 		Services:   []rhubarbgate.Service{{Name: "lm"}},
+		Limits:     e.limits,
 		Routes: []rhubarbgate.Route{
 			route("safe", rhubarbgate.Safe, 2, false), route("unsafe", rhubarbgate.Unsafe, 2, false),
 			route("stream", rhubarbgate.Streaming, 2, false), route("resume", rhubarbgate.Streaming, 3, true),
@@ -180,6 +182,12 @@
 		qt.Check(t, status, qt.Equals, x.status)
 	}
 	qt.Assert(t, e.runs("r"), qt.HasLen, 0)
+	e.limits = &rhubarbgate.CallerLimits{BodyBytes: 3}
+	e.configure(2)
+	status, body, err := e.send(context.Background(), "safe", "r", secret)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, 413)
+	qt.Assert(t, body, qt.Equals, "the body has 4 bytes, more than 3\n")
 }
 
 // TestFaultsOfTargets checks for each kind of route what a caller gets and how
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -282,12 +282,9 @@
 		return nil
 	}
 	r.proposed = true
-	return &fleet.FirstStores{Hosts: stores, Groups: h.storeGroups()}
+	return &fleet.FirstStores{Hosts: stores, Groups: h.StoreGroups}
 }
 
-// storeGroups is the number of job groups of the store hosts.
-func (h *Host) storeGroups() int { return h.StoreGroups }
-
 // commitFleet commits a change of the roster. If it is lost, the next message
 // of the host submits it again.
 func (h *Host) commitFleet(ctx context.Context, c *fleet.Command) {
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -211,7 +211,7 @@
 	if len(refs) == 0 {
 		return &control.LeaseReply{TTL: batch.LeaseTTL}, nil
 	}
-	c := &shard.Command{Jobs: &jobs.Command{Lease: &jobs.Lease{Side: batch.Holder(in.Side, in.Incarnation), Items: refs}}}
+	c := &shard.Command{Jobs: &jobs.Command{Lease: &jobs.Lease{Side: batch.LeaseHolder(in.Side, in.Incarnation), Items: refs}}}
 	h.stamp(c)
 	v, moved, err := h.propose(ctx, in.Group, c)
 	if err != nil {
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -18,8 +18,8 @@
 	id, route, tenant, key string
 	at                     time.Time
 	answer                 platformtest.Answer
-	// gaveUp says that the caller left before the end.
-	gaveUp bool
+	// expired says that the caller left, or its deadline passed, before the end.
+	expired bool
 	// stopping says that the entry got SIGTERM, and nothing else, meanwhile.
 	stopping bool
 }
@@ -127,7 +127,7 @@
 	}
 	// A stream that may not be resumed ends with its target's fault.
 	sound := !slices.ContainsFunc(runs, func(r platformtest.Run) bool { return r.Fault != platformtest.None })
-	if q.stopping && sound && len(runs) > 0 && q.answer.Err != nil && !q.gaveUp {
+	if q.stopping && sound && len(runs) > 0 && q.answer.Err != nil && !q.expired {
 		l.breaks("%s was cut by a graceful stop: %v", name, q.answer.Err)
 	}
 }
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -30,6 +30,8 @@
 	patience = time.Minute
 	// grace is how long a process may take to stop.
 	grace = 10 * time.Second
+	// balancerLag is how long the balancer sends callers to an entry that leaves.
+	balancerLag = 800 * time.Millisecond
 	// callerWait is how long callers wait for an answer.
 	callerWait = 4 * time.Second
 )
@@ -56,7 +58,9 @@
 	// terminating are entries that got SIGTERM and no other fault.
 	mu          sync.Mutex
 	terminating map[*process]bool
-	faults      int
+	// unready are entries that the balancer has taken out of the rotation.
+	unready map[*process]bool
+	faults  int
 }
 
 // Report is the outcome of a run.
@@ -74,7 +78,7 @@
 	s.client = platformtest.NewClient()
 	s.keys = map[string][]string{"one": {"key-one-a", "key-one-b"}, "two": {"key-two-a"}}
 	s.ledger.withdrawn = map[string]time.Time{}
-	s.terminating = map[*process]bool{}
+	s.terminating, s.unready = map[*process]bool{}, map[*process]bool{}
 	defer s.stopAll()
 	if err := s.startAll(); err != nil {
 		return nil, errors.Trace(err)
@@ -233,7 +237,8 @@
 	before, faults := s.terminating[p], s.faults
 	s.mu.Unlock()
 	q.answer = s.client.Send(call, netip.AddrPortFrom(p.address, callerPort), route, id, key, wait)
-	q.gaveUp = call.Err() != nil
+	// The entry ends a request at the deadline too, a little before its caller.
+	q.expired = call.Err() != nil || time.Since(q.at) > wait*9/10
 	s.mu.Lock()
 	// Only a stop that nothing else came on top of counts as graceful.
 	q.stopping = (before || s.terminating[p]) && s.faults == faults
@@ -259,7 +264,7 @@
 		if random.IntN(20) == 0 {
 			wait = time.Duration(random.IntN(100)) * time.Millisecond
 		}
-		q := s.send(context.WithoutCancel(ctx), random.IntN(entries), routes[random.IntN(len(routes))], fmt.Sprintf("c%d-%d", caller, n), tenant, key, wait)
+		q := s.send(context.WithoutCancel(ctx), s.chooseEntry(random), routes[random.IntN(len(routes))], fmt.Sprintf("c%d-%d", caller, n), tenant, key, wait)
 		if q.answer.Err != nil || q.answer.Status != 200 {
 			time.Sleep(time.Duration(20+random.IntN(60)) * time.Millisecond)
 		}
@@ -431,10 +436,13 @@
 		s.terminating[p] = true
 		s.mu.Unlock()
 		s.Logger.WithField("process", p.name).Info("stop")
+		noticed := time.AfterFunc(balancerLag, func() { s.setUnready(p, true) })
 		p.stop(grace)
+		noticed.Stop()
 		s.mu.Lock()
 		s.terminating[p] = false
 		s.mu.Unlock()
+		defer s.setUnready(p, false)
 	} else {
 		s.fault(signal.String(), p)
 		if signal == syscall.SIGTERM {
@@ -449,6 +457,23 @@
 	}
 }
 
+func (s *Soak) setUnready(p *process, unready bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unready[p] = unready
+}
+
+// chooseEntry draws an entry as the balancer does, ready ones first.
+func (s *Soak) chooseEntry(random *rand.Rand) int {
+	i := random.IntN(entries)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unready[s.entry[i]] {
+		i = (i + 1) % entries
+	}
+	return i
+}
+
 // freeze stops a process for a while.
 func (s *Soak) freeze(p *process) {
 	s.fault("freeze", p)
