--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -53,7 +53,7 @@
 	snapshotBytes = 16 << 20
 	// storeSnapshotBytes is the same on store hosts, whose logs hold the bodies of
 	// items in memory: a few seconds of a busy site.
-	storeSnapshotBytes = 4 << 20
+	storeSnapshotBytes = 3 << 19
 	// leadershipInterval is how often a host checks what it leads.
 	leadershipInterval = 50 * time.Millisecond
 	// backlogInterval is how often the backlog of batch items is looked at.
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -97,6 +97,9 @@
 	s.disturb(ctx)
 	stop()
 	tasks.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Annotatef(err, "seed %d", s.Seed)
+	}
 	s.settle(ctx)
 	s.ledger.verify(s.targets)
 	return s.report(), nil
--- a/internal/storage/disk/snapshot.go
+++ b/internal/storage/disk/snapshot.go
@@ -21,7 +21,7 @@
 	metaFile     = "snapshot.meta"
 	savingFile   = "snapshot.saving"
 	partialFile  = "snapshot.partial"
-	writeBuffer  = 1 << 20
+	writeBuffer  = 128 << 10
 )
 
 // Snapshots implements raft.SnapshotStore in one folder. A snapshot's content
