Side: an item that got a place while another was preempted ran twice

Cause: the lease loop looks at the first waiting item, asks the gate for a place and then takes the item off the list only if it is still the first. A preempted item that was put before it meanwhile kept it on the list, so it was started a second time under the same lease; the recorded start is idempotent and let it pass. Ruled out: leases ended by a new incarnation of a side (a started item fails there), repeats of Start, verdicts of the target client. Change: the item that got the place is removed wherever it stands.

--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -253,18 +253,22 @@
 		if p == nil && t.ctx.Err() == nil {
 			return
 		}
-		w.mu.Lock()
-		if len(w.ready) > 0 && w.ready[0] == t {
-			w.ready = w.ready[1:]
-		}
-		t.place = p
-		w.mu.Unlock()
+		w.placed(t, p)
 		if p != nil {
 			w.tasks.Go(func() { w.work(ctx, t, p) })
 		}
 	}
 }
 
+// placed notes that a task has got a place, or that its lease was lost. Another
+// task may have been put before it meanwhile.
+func (w *worker) placed(t *task, p *gatekeeper.Place) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.removeReady(t)
+	t.place = p
+}
+
 // signal wakes the lease loop.
 func (w *worker) signal() {
 	select {
