entry, replica: one copy of draining, counters and the first meeting

Cause: both kinds of entry wrote out how they leave, their counters and their derived generators; the first membership was gathered twice, by seeds and by given members. Ruled out: one constructor for the commands of entries and sides, whose lines have the same shape but other settings; one exchange for both HTTP servers. Change: drain, counter and derived in internal/role/entry; Host.meet for both ways to the first membership. The total wait of a leaving entry stays as it was for each kind (with the lag, and after it).

--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -15,7 +15,6 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
-	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
@@ -46,29 +45,19 @@
 	// Lag is how long the balancer may still send callers after the readiness
 	// check fails.
 	Lag time.Duration
-	// Grace is how long a leaving entry waits for its requests.
+	// Grace is how long a leaving entry waits for its requests, with the lag.
 	Grace time.Duration
 
 	server *ingress.Server
 }
 
-func (d *Direct) counter(name string) *expvar.Int {
-	v := new(expvar.Int)
-	d.Metrics.Set(name, v)
-	return v
-}
-
-func (d *Direct) random(stream uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(d.Random.Uint64(), stream))
-}
-
 // table returns the table of targets. It takes the list from the control hosts,
 // and reads it by itself while they do not tell it.
 func (d *Direct) table() *discovery.Table {
 	return &discovery.Table{
 		Directory: d.Directory, Clock: d.Clock, Logger: d.Logger, AvailabilityZone: d.AvailabilityZone,
-		Failures: d.counter("ListFailures"), Unreadable: d.counter("ListEntriesUnreadable"),
-		Opened: d.counter("TargetConnections"), Ejections: d.counter("TargetsEjected"),
+		Failures: counter(d.Metrics, "ListFailures"), Unreadable: counter(d.Metrics, "ListEntriesUnreadable"),
+		Opened: counter(d.Metrics, "TargetConnections"), Ejections: counter(d.Metrics, "TargetsEjected"),
 	}
 }
 
@@ -82,8 +71,8 @@
 	table := d.table()
 	watcher := &configuration.Watcher{
 		Listed: table.Update,
-		Wire:   d.Wire, Parents: d.Control, Clock: d.Clock, Random: d.random(1), Logger: d.Logger,
-		Failures: d.counter("ConfigPollFailures"),
+		Wire:   d.Wire, Parents: d.Control, Clock: d.Clock, Random: derived(d.Random, 1), Logger: d.Logger,
+		Failures: counter(d.Metrics, "ConfigPollFailures"),
 		Met: func(p control.Peers) {
 			controls.Update(p.Controls)
 			stores.Update(p.Stores)
@@ -92,13 +81,13 @@
 	d.Metrics.Set("ConfigVersion", expvar.Func(func() any { return watcher.Current().Version }))
 	exchange := &limits.Exchange{
 		Holder: &limit.Holder{Clock: d.Clock}, Client: controls, Clock: d.Clock, Name: name,
-		Groups: watcher.Groups, Exchanges: d.counter("LimitExchanges"),
+		Groups: watcher.Groups, Exchanges: counter(d.Metrics, "LimitExchanges"),
 	}
 	exchange.Start()
 	d.server = &ingress.Server{
 		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Stores: stores,
-		Picker: &pick.Least{Random: d.random(2)}, Budget: &retry.Budget{Ratio: retryRatio, Most: retryReserve},
-		Clock: d.Clock, Random: d.random(3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
+		Picker: &pick.Least{Random: derived(d.Random, 2)}, Budget: &retry.Budget{Ratio: retryRatio, Most: retryReserve},
+		Clock: d.Clock, Random: derived(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
 	d.server.Prepare()
 	var tasks conc.WaitGroup
@@ -111,26 +100,10 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		d.leave()
+		drain(d.server, d.Clock, d.Logger, d.Lag, d.Grace-d.Lag)
 	case err = <-served:
 	}
 	stop()
 	tasks.Wait()
 	return errors.Trace(err)
 }
-
-// leave lets the balancer notice, and then waits for the requests under way.
-func (d *Direct) leave() {
-	d.server.Leave()
-	d.Logger.Info("leaving")
-	until := d.Clock.Now().Add(d.Grace)
-	d.Clock.Sleep(d.Lag)
-	for d.server.Active() > 0 && d.Clock.Now().Before(until) {
-		d.Clock.Sleep(drainPoll)
-	}
-	ctx, cancel := deadline.WithTimeout(context.Background(), d.Clock, time.Second)
-	defer cancel()
-	if err := d.server.Shutdown(ctx); err != nil {
-		d.Logger.WithError(err).Warn("connections were still open at the stop")
-	}
-}
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -18,7 +18,6 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
-	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/controller/burnrate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
@@ -37,8 +36,6 @@
 	retryRatio = 0.1
 	// retryReserve is how many retries may be saved up.
 	retryReserve = 20
-	// drainPoll is how often a leaving entry looks whether its requests have ended.
-	drainPoll = 20 * time.Millisecond
 )
 
 // Host is one entry process. Set the exported fields before Run.
@@ -69,7 +66,7 @@
 	MaxAge  time.Duration
 	// Lag is how long the balancer may still send callers after the health check fails.
 	Lag time.Duration
-	// Grace is how long a leaving entry waits for its requests.
+	// Grace is how long a leaving entry waits for its requests, after the lag.
 	Grace time.Duration
 
 	server *caller.Server
@@ -86,23 +83,23 @@
 	controls := &control.Client{Wire: client, Hosts: h.Control, Clock: h.Clock}
 	table := &targets.Table{
 		Wire: client, Clock: h.Clock, Logger: h.Logger,
-		AvailabilityZone: h.AvailabilityZone, Name: name, Subset: h.Subset, Ejections: h.counter("TargetsEjected"),
+		AvailabilityZone: h.AvailabilityZone, Name: name, Subset: h.Subset, Ejections: counter(h.Metrics, "TargetsEjected"),
 	}
 	table.Start(work)
 	h.table.Store(table)
 	watcher := &configuration.Watcher{
-		Wire: client, Parents: h.Parents, Clock: h.Clock, Random: h.random(1), Logger: h.Logger,
-		Failures: h.counter("ConfigPollFailures"),
+		Wire: client, Parents: h.Parents, Clock: h.Clock, Random: derived(h.Random, 1), Logger: h.Logger,
+		Failures: counter(h.Metrics, "ConfigPollFailures"),
 		Applied:  func(c *config.Config) { table.Update(c) },
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return watcher.Current().Version }))
 	exchange := &limits.Exchange{
 		Holder: &limit.Holder{Clock: h.Clock}, Client: controls, Clock: h.Clock, Name: name,
-		Groups: watcher.Groups, Exchanges: h.counter("LimitExchanges"),
+		Groups: watcher.Groups, Exchanges: counter(h.Metrics, "LimitExchanges"),
 	}
 	exchange.Start()
 	recorder := &burnrate.Recorder{
-		Source: watcher, Client: controls, Clock: h.Clock, Name: name, Pushes: h.counter("BurnPushes"),
+		Source: watcher, Client: controls, Clock: h.Clock, Name: name, Pushes: counter(h.Metrics, "BurnPushes"),
 	}
 	h.server = &caller.Server{
 		Source: watcher, Holder: exchange.Holder, Targets: table, Wire: client, Control: controls,
@@ -116,7 +113,7 @@
 	tasks.Go(func() { table.Run(work) })
 	tasks.Go(func() { exchange.Run(work) })
 	if h.HostList.IsValid() {
-		list := &targets.HostList{Source: h.HostList, Path: h.HostListPath, Clock: h.Clock, Table: table, Failures: h.counter("HostListFailures")}
+		list := &targets.HostList{Source: h.HostList, Path: h.HostListPath, Clock: h.Clock, Table: table, Failures: counter(h.Metrics, "HostListFailures")}
 		tasks.Go(func() { list.Run(work) })
 	}
 	tasks.Go(func() { recorder.Run(work) })
@@ -129,7 +126,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		h.leave()
+		drain(h.server, h.Clock, h.Logger, h.Lag, h.Grace)
 		recorder.Push(work)
 	case err = <-served:
 	}
@@ -138,38 +135,12 @@
 	return errors.Trace(err)
 }
 
-// leave lets the balancer notice, and then waits for the requests under way.
-func (h *Host) leave() {
-	h.server.Leave()
-	h.Logger.Info("leaving")
-	h.Clock.Sleep(h.Lag)
-	until := h.Clock.Now().Add(h.Grace)
-	for h.server.Active() > 0 && h.Clock.Now().Before(until) {
-		h.Clock.Sleep(drainPoll)
-	}
-	ctx, cancel := deadline.WithTimeout(context.Background(), h.Clock, time.Second)
-	defer cancel()
-	if err := h.server.Shutdown(ctx); err != nil {
-		h.Logger.WithError(err).Warn("connections were still open at the stop")
-	}
-}
-
 // ServesModel reports whether some target can be chosen for the model.
 func (h *Host) ServesModel(model string) bool {
 	t := h.table.Load()
 	return t != nil && t.Heard(model)
 }
 
-func (h *Host) counter(name string) *expvar.Int {
-	v := new(expvar.Int)
-	h.Metrics.Set(name, v)
-	return v
-}
-
-func (h *Host) random(stream uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(h.Random.Uint64(), stream))
-}
-
 func (h *Host) budget() rhubarbgate.RetryBudget {
 	if h.UnlimitedRetries {
 		return retry.Unlimited{}
@@ -178,7 +149,7 @@
 }
 
 func (h *Host) picker() rhubarbgate.Picker {
-	two := &pick.TwoChoices{Random: h.random(3)}
+	two := &pick.TwoChoices{Random: derived(h.Random, 3)}
 	switch h.Picker {
 	case "round-robin":
 		return &pick.RoundRobin{}
--- a/internal/role/replica/bootstrap.go
+++ b/internal/role/replica/bootstrap.go
@@ -59,37 +59,25 @@
 		return nil, false
 	}
 	if len(h.Seeds) > 0 {
-		return h.firstSeeds(ctx)
-	}
-	var blank raft.Members
-	for _, id := range slices.Sorted(maps.Keys(h.Members)) {
-		r, err := h.hello(ctx, h.Members[id])
-		if err != nil {
-			continue
+		// Hosts that are no seeds, or lost their disk, are added later.
+		if slices.Contains(h.Seeds, h.Listen) {
+			first, _ = h.meet(ctx, h.Seeds)
 		}
-		if r.Initialised {
-			self, ok := r.Members.Find(h.ID)
-			if ok && self.Incarnation == h.identity.Incarnation {
-				return r.Members, false
-			}
-			return nil, true
-		}
-		blank = blank.With(raft.Member{ID: r.ID, Incarnation: r.Incarnation, Address: h.Members[id]})
+		return first, false
 	}
-	if len(blank) < len(h.Members) {
-		return nil, false
+	var hosts []netip.AddrPort
+	for _, id := range slices.Sorted(maps.Keys(h.Members)) {
+		hosts = append(hosts, h.Members[id])
 	}
-	return blank, false
+	first, exists := h.meet(ctx, hosts)
+	return first, exists && first == nil
 }
 
-// firstSeeds returns the first membership, made of the seeds, once all of them
-// have been met without state. Hosts that are no seeds are added later.
-func (h *Host) firstSeeds(ctx context.Context) (first raft.Members, lost bool) {
-	if !slices.Contains(h.Seeds, h.Listen) {
-		return nil, false
-	}
-	var blank raft.Members
-	for _, a := range h.Seeds {
+// meet asks the hosts of the first membership. If one has state, the group exists:
+// its members are returned if they know this incarnation. Otherwise the
+// membership is made of all hosts, once all have been met.
+func (h *Host) meet(ctx context.Context, hosts []netip.AddrPort) (first raft.Members, exists bool) {
+	for _, a := range hosts {
 		r, err := h.hello(ctx, a)
 		if err != nil {
 			continue
@@ -97,16 +85,16 @@
 		if r.Initialised {
 			self, ok := r.Members.Find(h.ID)
 			if ok && self.Incarnation == h.identity.Incarnation {
-				return r.Members, false
+				return r.Members, true
 			}
-			return nil, false
+			return nil, true
 		}
-		blank = blank.With(raft.Member{ID: r.ID, Incarnation: r.Incarnation, Address: a})
+		first = first.With(raft.Member{ID: r.ID, Incarnation: r.Incarnation, Address: a})
 	}
-	if len(blank) < len(h.Seeds) {
+	if len(first) < len(hosts) {
 		return nil, false
 	}
-	return blank, false
+	return first, false
 }
 
 func (h *Host) hello(ctx context.Context, a netip.AddrPort) (*control.HelloReply, error) {
