replica: a stop waits until others lead its groups

Cause: a stopping host asked others to take over and ended 0.3 s later, whether they had or not. TestGracefulStop saw three groups led by a host that was gone, 0.46 to 0.57 s without a leader, and a request within its rate refused. Ruled out: transfers that are lost end after an election timeout by themselves. Change: handOver goes on until another host leads each group, at most 1.05 s, and logs a group that has none by then.

--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -66,8 +66,12 @@
 	giveUpMargin = 10 * time.Second
 	// defaultRetention is how long ended jobs, their files and idempotency keys are kept.
 	defaultRetention = 48 * time.Hour
-	// shutdownPause lets a handover of leadership finish before the host stops.
+	// shutdownPause is how long a stopping host stays at least, for what is under
+	// way and for entries to learn of new leaders.
 	shutdownPause = 300 * time.Millisecond
+	// shutdownLimit bounds the wait for other leaders: a transfer that fails ends
+	// after an election timeout, and an election takes two at most.
+	shutdownLimit = 3 * defaultElection
 )
 
 // Host is one control or store host. Set the exported fields before Run.
@@ -308,12 +312,33 @@
 	}
 }
 
-// handOver gives leadership away, so that a planned stop leaves no gap.
+// handOver gives leadership away, so that a planned stop leaves no gap. It
+// returns once other hosts lead all groups, or when shutdownLimit has passed.
 func (h *Host) handOver() {
+	limit := h.Clock.Now().Add(shutdownLimit)
 	for g := range h.running() {
 		g.Transfer()
 	}
 	h.Clock.Sleep(shutdownPause)
+	for g := range h.running() {
+		for !handedOver(g.Status()) {
+			if h.Clock.Now().After(limit) {
+				h.Logger.WithField("group", g.ID).Warn("stopping without a new leader")
+				break
+			}
+			h.Clock.Sleep(leadershipInterval)
+		}
+	}
+}
+
+// handedOver reports whether another host leads, or no other host can.
+func handedOver(s raft.Status) bool {
+	for _, m := range s.Members {
+		if m.ID != s.Self && !m.Learner {
+			return s.Leader != 0 && s.Leader != s.Self
+		}
+	}
+	return true
 }
 
 // Ready reports whether the host takes part in its groups.
