ingress: a target that was not reached gets a second chance

Cause: an attempt whose connection timed out after 250 ms used its target up. Ruled out: the deadline of the request and the attempts of the route. Change: if no untried target is left, each target that no connection came about to is tried once more; maxSends still bounds all. The table of targets takes a dialer instead of a timeout, so that a test can make connections fail. Test: TestUnreachedTargetIsTriedAgain, red before; two failures still end in a stream that does not look whole.

--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"expvar"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -29,9 +30,9 @@
 	staleCheck = 700 * time.Millisecond
 	// listTimeout bounds one reading of the list.
 	listTimeout = 1500 * time.Millisecond
-	// defaultDialTimeout is far above the round trip between availability zones
+	// dialTimeout is far above the round trip between availability zones
 	// and far below the latency objectives.
-	defaultDialTimeout = 250 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// freshIdle is how long a connection may have been idle to carry a request
 	// that may not be repeated.
 	freshIdle = 3 * time.Second
@@ -47,8 +48,8 @@
 	Clock            clockwork.Clock
 	Logger           log.Interface
 	AvailabilityZone string
-	// DialTimeout bounds a new connection to a target; zero means 250 ms.
-	DialTimeout time.Duration
+	// Dialer opens connections to targets; nil means one with a timeout of 250 ms.
+	Dialer *net.Dialer
 	// Failures counts readings that failed, Unreadable entries that were passed
 	// over, Opened new connections to targets, Ejections targets taken out.
 	Failures, Unreadable, Opened, Ejections *expvar.Int
@@ -173,7 +174,7 @@
 
 func (t *Table) add(k key, x rhubarbgate.Instance) *Target {
 	n := &Target{Instance: x, name: targetName(x), Client: &target.Client{
-		Address: x.Address, Dialer: socket.Dialer(cmp.Or(t.DialTimeout, defaultDialTimeout)), Fresh: freshIdle, MaxIdle: maxIdle,
+		Address: x.Address, Dialer: cmp.Or(t.Dialer, socket.Dialer(dialTimeout)), Fresh: freshIdle, MaxIdle: maxIdle,
 		Clock: t.Clock, CloseEnds: true, Opened: t.Opened,
 	}}
 	t.targets[k] = n
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -44,6 +45,8 @@
 	service string
 	request target.Request
 	tried   []*discovery.Target
+	// unreached are those tried that no connection came about to, once.
+	unreached []*discovery.Target
 	// ran counts the targets that may have run the request.
 	ran     int
 	verdict rhubarbgate.Verdict
@@ -163,11 +166,19 @@
 		return nil, notRun(rhubarbgate.CodeOverloaded, "the deadline passed before a target was found")
 	}
 	list, candidates := s.Targets.Candidates(q.service, q.tried)
+	again := len(list) == 0 && len(q.unreached) > 0
+	if again {
+		list, candidates = s.Targets.Candidates(q.service, without(q.tried, q.unreached...))
+	}
 	if len(list) == 0 {
 		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target left, %d tried", q.service, len(q.tried)).After(fullRetry)
 	}
 	t := list[s.Picker.Pick(rhubarbgate.PickRequest{Workspace: x.Workspace}, candidates)]
-	q.tried = append(q.tried, t)
+	if again {
+		q.unreached = without(q.unreached, t)
+	} else {
+		q.tried = append(q.tried, t)
+	}
 	r := q.request
 	r.Headers = append(r.Headers[:len(r.Headers):len(r.Headers)], s.Dialect.TargetHeaders(rhubarbgate.TargetCall{
 		Instance: t.Instance.ID, Workspace: x.Workspace, Timeout: left,
@@ -178,8 +189,11 @@
 	answer, err := t.Client.Do(ctx, &r)
 	if err != nil {
 		e := rhubarbgate.AsError(err)
-		if e.Verdict != rhubarbgate.NotRun {
+		switch {
+		case e.Verdict != rhubarbgate.NotRun:
 			q.ran++
+		case !again:
+			q.unreached = append(q.unreached, t)
 		}
 		a.end(e.Code == rhubarbgate.CodeUpstream)
 		return nil, e
@@ -188,6 +202,17 @@
 	return a, a.judge()
 }
 
+// without returns the targets of list that are not among those to leave out.
+func without(list []*discovery.Target, out ...*discovery.Target) []*discovery.Target {
+	var kept []*discovery.Target
+	for _, t := range list {
+		if !slices.Contains(out, t) {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
 // judge classifies the head of the answer.
 func (a *attempt) judge() *rhubarbgate.Error {
 	s := a.server
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -8,7 +8,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,10 +47,32 @@
 	targets []*platformtest.Target
 	list    *platformtest.List
 	limits  *rhubarbgate.CallerLimits
+
+	mu sync.Mutex
+	// failing is how many connections to an address still fail.
+	failing map[string]int
+}
+
+// failDials lets the next n connections to an address fail.
+func (e *entry) failDials(address string, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing[address] = n
+}
+
+// dial fails as often as the address is to.
+func (e *entry) dial(address string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.failing[address] == 0 {
+		return nil
+	}
+	e.failing[address]--
+	return os.ErrDeadlineExceeded
 }
 
 func newEntry(t *testing.T, targets ...*platformtest.Target) *entry {
-	e := &entry{t: t, targets: targets, list: &platformtest.List{Targets: targets}}
+	e := &entry{t: t, targets: targets, list: &platformtest.List{Targets: targets}, failing: map[string]int{}}
 	for i, x := range targets {
 		x.Instance, x.Service, x.Zone, x.Slots = fmt.Sprintf("i-%d", i), "lm", "z", 8
 		qt.Assert(t, x.Start(), qt.IsNil)
@@ -61,7 +86,9 @@
 	table := &discovery.Table{
 		Directory: &platform.Directory{Client: &target.Client{Address: e.list.Address()}}, Clock: clock, Logger: logger,
 		// No verdict here hangs on how fast a busy machine connects.
-		DialTimeout:      time.Minute,
+		Dialer: &net.Dialer{Timeout: time.Minute, ControlContext: func(_ context.Context, _, address string, _ syscall.RawConn) error {
+			return e.dial(address)
+		}},
 		AvailabilityZone: "z", Failures: n(), Unreadable: n(), Opened: n(), Ejections: n(),
 	}
 	table.Refresh(context.Background())
@@ -242,6 +269,37 @@
 	}
 }
 
+// TestUnreachedTargetIsTriedAgain answers TestFaultsOfTargets beside a busy bench
+// (2026-12-04): a resumable stream was cut because the only other target could
+// not be connected to in time once.
+func TestUnreachedTargetIsTriedAgain(t *testing.T) {
+	for _, x := range []struct {
+		fails int
+		whole bool
+	}{{1, true}, {2, false}} {
+		t.Run(fmt.Sprintf("%d connections fail", x.fails), func(t *testing.T) {
+			list := []*platformtest.Target{{Events: 8}, {Events: 8}}
+			var e *entry
+			var cut sync.Once
+			for i, y := range list {
+				// Whichever target comes first cuts the stream, and the other one is
+				// out of reach then.
+				y.Fault = func(string, int) platformtest.Fault {
+					fault := platformtest.None
+					cut.Do(func() {
+						e.failDials(list[1-i].Address().String(), x.fails)
+						fault = platformtest.CutStream
+					})
+					return fault
+				}
+			}
+			e = newEntry(t, list...)
+			_, body, err := e.send(context.Background(), "resume", "r", secret)
+			qt.Assert(t, err == nil && body == stream("r", 8), qt.Equals, x.whole, qt.Commentf("%q %v", body, err))
+		})
+	}
+}
+
 // TestServerFailureIsPassedOn checks that the failure of a target reaches the
 // caller with its own status if nothing better can be had.
 func TestServerFailureIsPassedOn(t *testing.T) {
