replica: a lease whose answer is lost ends too

Its lease was committed on a slow disk after the call of the side had timed out. The call's handler noted the lease only when it saw the outcome itself, so the leader neither watched its end nor gave the item to another side, until the next leader. The same held for items that commands had ended. Change: the leader notes the result when the command is applied, whether or not the caller still waits. LeasesWatched is served as a metric.

--- a/internal/controller/batch/dispatcher.go
+++ b/internal/controller/batch/dispatcher.go
@@ -168,6 +168,13 @@
 	d.completed, d.paceAt = 0, now
 }
 
+// Leases returns the number of leases whose end is watched.
+func (d *Dispatcher) Leases() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.deadlines)
+}
+
 // Expired takes out the leases that were not renewed in time.
 func (d *Dispatcher) Expired() []jobs.ItemRef {
 	d.mu.Lock()
--- a/internal/role/replica/bench_test.go
+++ b/internal/role/replica/bench_test.go
@@ -22,7 +22,7 @@
 )
 
 // startHosts runs n control hosts in this process and returns a client of them.
-func startHosts(b testing.TB, n, maxBatch int) *control.Client {
+func startHosts(b testing.TB, n, maxBatch int) (*control.Client, []*Host) {
 	clock := clockwork.NewRealClock()
 	ctx, cancel := context.WithCancel(context.Background())
 	members := map[uint64]netip.AddrPort{}
@@ -36,6 +36,7 @@
 		members[uint64(i)] = l.Addr().(*net.TCPAddr).AddrPort()
 	}
 	c := &control.Client{Wire: wire.NewClient(nil), Clock: clock}
+	var hosts []*Host
 	var done sync.WaitGroup
 	dir := b.TempDir()
 	for i := 1; i <= n; i++ {
@@ -49,6 +50,7 @@
 			b.Fatal(err)
 		}
 		c.Hosts = append(c.Hosts, members[id])
+		hosts = append(hosts, h)
 		done.Go(func() { _ = h.Run(ctx) })
 	}
 	b.Cleanup(func() { cancel(); done.Wait() })
@@ -57,7 +59,7 @@
 	if _, err := c.Query(ready, &control.Query{Group: 1, List: new(int)}); err != nil {
 		b.Fatal(err)
 	}
-	return c
+	return c, hosts
 }
 
 // BenchmarkCommit is the commit of a small command on three hosts, with group
@@ -66,7 +68,7 @@
 	for _, batch := range []int{0, 1} {
 		for _, writers := range []int{1, 16, 256} {
 			b.Run(fmt.Sprintf("max-batch=%d/writers=%d", batch, writers), func(b *testing.B) {
-				c := startHosts(b, 3, batch)
+				c, _ := startHosts(b, 3, batch)
 				b.ResetTimer()
 				commitAll(b, c, writers)
 				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
@@ -100,7 +102,7 @@
 func BenchmarkItems(b *testing.B) {
 	const chunk = 2000
 	line := []byte(`{"custom_id":"i0","method":"POST","url":"/v1/completions","body":{"model":"small","prompt":"a note of ordinary length for one booking","max_tokens":60}}`)
-	c := startHosts(b, 3, 0)
+	c, _ := startHosts(b, 3, 0)
 	ctx := context.Background()
 	var accept, finish time.Duration
 	items := 0
@@ -125,7 +127,7 @@
 	b.ReportMetric(float64(items)/finish.Seconds(), "completed/s")
 }
 
-func must(b *testing.B, c *control.Client, cmd jobs.Command) {
+func must(b testing.TB, c *control.Client, cmd jobs.Command) {
 	if _, err := c.Jobs(context.Background(), 1, cmd); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -164,6 +164,7 @@
 	h.wire.Traffic = h.Traffic
 	h.transport = &peer.Transport{Client: h.wire, Clock: h.Clock, Dropped: new(expvar.Int)}
 	h.Metrics.Set("PeerMessagesDropped", h.transport.Dropped)
+	h.Metrics.Set("LeasesWatched", expvar.Func(func() any { return h.leases() }))
 	if len(h.Seeds) > 0 {
 		h.client = &control.Client{Wire: h.wire, Hosts: h.Seeds, Clock: h.Clock}
 	}
@@ -384,6 +385,17 @@
 	}
 }
 
+// leases returns how many leases of items end unless they are renewed here.
+func (h *Host) leases() int {
+	n := 0
+	for _, l := range h.shards {
+		if l.leads() {
+			n += l.dispatcher.Leases()
+		}
+	}
+	return n
+}
+
 func (h *Host) retention() time.Duration {
 	if h.Retention > 0 {
 		return h.Retention
--- a/internal/role/replica/host_test.go
+++ b/internal/role/replica/host_test.go
@@ -1,11 +1,16 @@
 package replica
 
 import (
+	"context"
+	"runtime"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
 
 // TestHandedOver answers TestGracefulStop (2026-12-04): a host stopped 0.3 s
@@ -28,3 +33,29 @@
 		qt.Check(t, handedOver(x.status), qt.Equals, x.want, qt.Commentf("%s", x.name))
 	}
 }
+
+// TestLeaseBehindALostAnswer answers the day slow-disks on mwangi-ops (2026-12-04):
+// a lease was committed after the call for it had timed out on a slow disk. The
+// leader did not know that it had to end, and no side ever ran the item.
+func TestLeaseBehindALostAnswer(t *testing.T) {
+	c, hosts := startHosts(t, 1, 0)
+	ctx := context.Background()
+	submit := &jobs.Submit{
+		ID: "j", Workspace: "w", Window: time.Hour, Retention: time.Hour, Attempts: 3,
+		Items: []jobs.ItemInput{{ID: "i", Needs: "m", Idempotent: true, Line: []byte("{}")}},
+	}
+	must(t, c, jobs.Command{Submit: submit})
+	h := hosts[0]
+	ask := &control.Lease{Group: 1, Side: "s", Incarnation: "1", Needs: []string{"m"}, Count: 1}
+	gone, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err := h.lease(gone, ask)
+	qt.Assert(t, err, qt.IsNotNil)
+	leased := 0
+	for leased == 0 {
+		h.shards[0].machine.Jobs.LeasedItems(func(jobs.ItemRef) { leased++ })
+		runtime.Gosched()
+	}
+	must(t, c, jobs.Command{CreateFile: &jobs.CreateFile{ID: "f", Workspace: "w"}}) // behind the lease
+	qt.Assert(t, h.shards[0].dispatcher.Leases(), qt.Equals, 1)
+}
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -74,12 +74,23 @@
 // propose commits a command and returns its result. moved reports that this
 // host does not lead the group.
 func (h *Host) propose(ctx context.Context, group uint32, command any) (result any, moved bool, err error) {
+	return h.proposeThen(ctx, group, command, func(any) {})
+}
+
+// proposeThen is propose for commands whose leader has to note the result, also
+// if the command is committed after ctx has ended.
+func (h *Host) proposeThen(ctx context.Context, group uint32, command any, note func(result any)) (result any, moved bool, err error) {
 	data, err := wire.Marshal(command)
 	if err != nil {
 		return nil, false, errors.Trace(err)
 	}
 	done := make(chan raft.Result, 1)
-	h.groups[group].Propose(data, func(r raft.Result) { done <- r })
+	h.groups[group].Propose(data, func(r raft.Result) {
+		if r.Err == nil {
+			note(r.Value)
+		}
+		done <- r
+	})
 	return await(ctx, done)
 }
 
@@ -126,7 +137,10 @@
 		return &control.ProposeReply{Routing: h.routing(in.Group)}, nil
 	}
 	h.stamp(&in.Command)
-	v, moved, err := h.propose(ctx, in.Group, &in.Command)
+	v, moved, err := h.proposeThen(ctx, in.Group, &in.Command, func(v any) {
+		r, _ := v.(*shard.Result)
+		l.noteEnded(in.Command.Jobs, r)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +148,6 @@
 		return &control.ProposeReply{Routing: h.routing(in.Group)}, nil
 	}
 	r, _ := v.(*shard.Result)
-	l.noteEnded(in.Command.Jobs, r)
 	return &control.ProposeReply{Result: r}, nil
 }
 
@@ -213,7 +226,10 @@
 	}
 	c := &shard.Command{Jobs: &jobs.Command{Lease: &jobs.Lease{Side: batch.LeaseHolder(in.Side, in.Incarnation), Items: refs}}}
 	h.stamp(c)
-	v, moved, err := h.propose(ctx, in.Group, c)
+	v, moved, err := h.proposeThen(ctx, in.Group, c, func(v any) {
+		r, _ := v.(*shard.Result)
+		l.dispatcher.Granted(refs, r.Jobs.Granted)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -221,7 +237,6 @@
 		return &control.LeaseReply{Routing: h.routing(in.Group)}, nil
 	}
 	r, _ := v.(*shard.Result)
-	l.dispatcher.Granted(refs, r.Jobs.Granted)
 	granted, err := l.withLines(r.Jobs.Granted)
 	if err != nil {
 		return nil, err
