raft: an echo of an earlier process's clock does not confirm a follower

Cause: a leader kept the highest clock that it had received from a follower and echoed it. A follower that restarted counts its clock from zero, so it took the echo of its earlier process for a time in the future: its configuration counted as confirmed, and withdrawn keys as valid, for as long as that process had run (59 s seen by a reader of the code). Change: each start draws a random offset for Message.Clock; an echo outside of the time since the start is ignored. The leader echoes the clock of the last reply. The message keeps its form, so older processes understand it. Conclusion: a follower's age can no longer be understated after a restart.

--- a/internal/consensus/raft/core.go
+++ b/internal/consensus/raft/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -32,6 +33,9 @@
 	// resendAfterHeartbeats is the number of heartbeats without a reply after
 	// which a message in flight counts as lost.
 	resendAfterHeartbeats = 3
+	// maxClockOffset bounds core.clockOffset; the rest of the range is left for the
+	// time since the start.
+	maxClockOffset = math.MaxInt64 / 2
 	// promotionMaxLagEntries is the largest number of entries that a learner may
 	// lack when it is promoted to a voter.
 	promotionMaxLagEntries = 64
@@ -55,10 +59,13 @@
 	drift float64
 
 	startedAt time.Time
-	phase     Phase
-	term      uint64
-	votedFor  uint64
-	leader    uint64
+	// clockOffset is a random number drawn at each start. Message.Clock counts from it,
+	// so that an echo of an earlier process's clock is recognized.
+	clockOffset time.Duration
+	phase       Phase
+	term        uint64
+	votedFor    uint64
+	leader      uint64
 
 	raftLog *entryLog
 	members Members
@@ -101,7 +108,7 @@
 	nextIndex            uint64
 	matchIndex           uint64
 	ackedSendTime        time.Time     // send time of the newest message that the peer replied to
-	peerClock            time.Duration // newest Message.Clock received from the peer
+	peerClock            time.Duration // Message.Clock of the last reply; the peer's clock starts anew with its process
 	inFlight             bool          // an Append with entries or a Chunk has no reply yet
 	heartbeatsSinceReply int           // heartbeats sent since the last reply
 	snapshotOffset       int64         // of the next chunk, in bytes
@@ -120,6 +127,7 @@
 // start initializes the core from the durable state.
 func (c *core) start(stored Stored) {
 	c.startedAt = c.clock.Now()
+	c.clockOffset = time.Duration(1 + c.random.Int64N(maxClockOffset))
 	c.term = stored.HardState.Term
 	c.votedFor = stored.HardState.Vote
 	c.durableTerm = stored.HardState.Term
@@ -136,8 +144,15 @@
 	c.becomeFollower(c.term, 0)
 }
 
-// sinceStart converts t to the time since the core started, as Message.Clock has it.
-func (c *core) sinceStart(t time.Time) time.Duration { return t.Sub(c.startedAt) }
+// messageClock converts t to a value of Message.Clock.
+func (c *core) messageClock(t time.Time) time.Duration { return c.clockOffset + t.Sub(c.startedAt) }
+
+// echoedTime converts the echo of an own Message.Clock to a time. It reports false for an
+// echo of a message that an earlier process of this replica sent.
+func (c *core) echoedTime(echo time.Duration) (time.Time, bool) {
+	t := c.startedAt.Add(echo - c.clockOffset)
+	return t, !t.Before(c.startedAt) && !t.After(c.clock.Now())
+}
 
 // resetElectionTimer sets the deadline to one to two election timeouts from now;
 // the random part makes split votes unlikely.
--- a/internal/consensus/raft/raft_test.go
+++ b/internal/consensus/raft/raft_test.go
@@ -346,3 +346,36 @@
 	leader.advanceLeaderCommit()
 	c.Assert(leader.commitIndex, qt.Equals, uint64(2))
 }
+
+// TestRestartedFollowerIsNotFresherThanItsLeader restarts a follower after a minute and
+// soon cuts it off. A leader that echoes the clock of the process before the restart would
+// make the follower's state count as confirmed in the future, and so as fresh for a minute.
+func TestRestartedFollowerIsNotFresherThanItsLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		cl := newCluster(seed, 3)
+		cl.run(time.Minute)
+		l := cl.leader().self.ID
+		follower := l%3 + 1
+		cl.crash(follower)
+		cl.start(cl.replicas[follower])
+		restartedAt := cl.clock.Now()
+		check := func() {
+			s := cl.replicas[follower].group.Status()
+			now := cl.replicas[follower].group.Clock.Now()
+			qt.Assert(t, s.FreshAt.After(now), qt.IsFalse, qt.Commentf("seed %d: confirmed %v in the future", seed, s.FreshAt.Sub(now)))
+		}
+		for range 100 {
+			cl.step()
+			check()
+		}
+		freshAt := cl.replicas[follower].group.Status().FreshAt
+		qt.Assert(t, freshAt.After(restartedAt.Add(500*time.Millisecond)), qt.IsTrue, qt.Commentf("seed %d: not confirmed after the restart", seed))
+		for other := range uint64(3) {
+			cl.blocked[[2]uint64{other + 1, follower}], cl.blocked[[2]uint64{follower, other + 1}] = true, true
+		}
+		for range 50 {
+			cl.step()
+			check()
+		}
+	}
+}
--- a/internal/consensus/raft/replication.go
+++ b/internal/consensus/raft/replication.go
@@ -113,6 +113,6 @@
 	m.FromIncarnation = c.incarnation
 	m.To = to.ID
 	m.ToAddress = to.Address
-	m.Clock = c.sinceStart(c.clock.Now())
+	m.Clock = c.messageClock(c.clock.Now())
 	return m
 }
--- a/internal/consensus/raft/step.go
+++ b/internal/consensus/raft/step.go
@@ -193,7 +193,11 @@
 	if m.Echo == 0 {
 		return
 	}
-	at := c.startedAt.Add(m.Echo - m.QuorumAge)
+	echoed, ok := c.echoedTime(m.Echo)
+	if !ok {
+		return
+	}
+	at := echoed.Add(-m.QuorumAge)
 	if at.After(c.fresh.pendingAt) {
 		c.fresh.pendingAt = at
 		c.fresh.pendingCommit = m.Commit
@@ -259,10 +263,10 @@
 	if c.phase != Leader || m.Term != c.term || p == nil {
 		return
 	}
-	if sentAt := c.startedAt.Add(m.Echo); sentAt.After(p.ackedSendTime) {
+	if sentAt, ok := c.echoedTime(m.Echo); ok && sentAt.After(p.ackedSendTime) {
 		p.ackedSendTime = sentAt
 	}
-	p.peerClock = max(p.peerClock, m.Clock)
+	p.peerClock = m.Clock
 	p.heartbeatsSinceReply = 0
 	member, _ := c.members.Find(m.From)
 	if m.Kind == ChunkReply {
--- a/internal/consensus/raft/write_test.go
+++ b/internal/consensus/raft/write_test.go
@@ -95,7 +95,7 @@
 	r.becomeLeader(t)
 	for range 3 * testElection / testHeartbeat {
 		r.transport.take(Append)
-		r.poll(t, testHeartbeat, Message{Kind: AppendReply, Term: 1, Index: 1, Echo: r.core.sinceStart(r.clock.Now())})
+		r.poll(t, testHeartbeat, Message{Kind: AppendReply, Term: 1, Index: 1, Echo: r.core.messageClock(r.clock.Now())})
 		qt.Assert(t, r.transport.take(Append), qt.HasLen, 2)
 		qt.Assert(t, r.Status().Phase, qt.Equals, Leader)
 	}
@@ -127,7 +127,7 @@
 	r := newReplica(t)
 	r.becomeLeader(t)
 	for d := time.Duration(0); d <= stalledWriteTimeout+testHeartbeat; d += testHeartbeat {
-		r.poll(t, testHeartbeat, Message{Kind: AppendReply, Term: 1, Index: 1, Echo: r.core.sinceStart(r.clock.Now())})
+		r.poll(t, testHeartbeat, Message{Kind: AppendReply, Term: 1, Index: 1, Echo: r.core.messageClock(r.clock.Now())})
 	}
 	qt.Assert(t, r.Status().Phase, qt.Equals, Follower)
 	r.poll(t, 3*testElection)
