role/entry: a draining entry takes no requests after the balancer's lag

Cause: drain waited for the requests in flight before it closed the listener and idle connections. Change: right after the lag the listener and idle connections are closed, and the rest of the grace waits for the requests in flight. The entry of the product's own callers, too, ends each connection with the response to its next request once it drains. Both entries publish RequestsInFlight. Result: TestDrainTakesNoRequestsAfterBalancerLag fails before (the shutdown never comes while a request is in flight) and passes. TestShutdownEndsIdleConnections passes before and after: it guards the order of closing that drain now relies on.

--- a/internal/http/caller/server.go
+++ b/internal/http/caller/server.go
@@ -128,7 +128,7 @@
 func (s *Server) Serve(l net.Listener) error { return errors.Trace(s.app.Listener(l)) }
 
 // StartDraining makes the health check fail, so that the load balancer stops sending callers to
-// this entry. Requests that still arrive are served.
+// this entry. Requests that still arrive are served, each as the last one of its connection.
 func (s *Server) StartDraining() { s.draining.Store(true) }
 
 // InFlight returns the number of requests in flight.
@@ -167,6 +167,9 @@
 			IdempotencyKey: string(c.Request().Header.Peek("Idempotency-Key")),
 		}
 		c.Set("X-Request-Id", x.RequestID)
+		if s.draining.Load() {
+			c.Response().SetConnectionClose()
+		}
 		err := h(x)
 		if !c.Context().Response.IsBodyStream() {
 			s.inFlight.Add(-1)
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -95,6 +95,7 @@
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
 	d.server.Prepare()
+	d.Metrics.Set("RequestsInFlight", expvar.Func(func() any { return d.server.InFlight() }))
 	var tasks conc.WaitGroup
 	served := make(chan error, 2)
 	tasks.Go(func() { watcher.Run(work) })
--- a/internal/role/entry/drain.go
+++ b/internal/role/entry/drain.go
@@ -12,40 +12,27 @@
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 )
 
-const (
-	// drainPollInterval is how often a draining entry checks whether its requests have
-	// ended.
-	drainPollInterval = 20 * time.Millisecond
-	// shutdownTimeout bounds the closing of connections, which is immediate for idle
-	// ones.
-	shutdownTimeout = time.Second
-)
-
 // server is the part of an entry's HTTP server that drain needs.
 type server interface {
-	// StartDraining makes the health check fail.
+	// StartDraining makes the health check fail and ends each connection with the
+	// response to its next request.
 	StartDraining()
-	// InFlight returns the number of requests in flight.
-	InFlight() int
-	// Shutdown closes the server's connections.
+	// Shutdown closes the listeners and idle connections at once, and waits for the
+	// requests in flight until ctx ends.
 	Shutdown(ctx context.Context) error
 }
 
 // drain makes the health check fail and keeps serving for balancerLag, until the
-// balancer sends no more requests. It then waits for the requests in flight, at most
-// grace, and closes the connections.
+// balancer opens no more connections. Then it takes no more requests: it closes the
+// listener and idle connections, and waits for the requests in flight, at most grace.
 func drain(s server, c clockwork.Clock, l log.Interface, balancerLag, grace time.Duration) {
 	s.StartDraining()
 	l.Info("leaving")
 	c.Sleep(balancerLag)
-	until := c.Now().Add(grace)
-	for s.InFlight() > 0 && c.Now().Before(until) {
-		c.Sleep(drainPollInterval)
-	}
-	ctx, cancel := deadline.WithTimeout(context.Background(), c, shutdownTimeout)
+	ctx, cancel := deadline.WithTimeout(context.Background(), c, grace)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
-		l.WithError(err).Warn("shutting down the HTTP server failed; connections may still be open")
+		l.WithError(err).Warn("stopping with requests in flight; their connections are closed")
 	}
 }
 
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -114,6 +114,7 @@
 		Counts: caller.NewCounters(h.Metrics), Observe: recorder.Observe, MaxAge: h.MaxAge, Name: name,
 	}
 	h.server.Prepare()
+	h.Metrics.Set("RequestsInFlight", expvar.Func(func() any { return h.server.InFlight() }))
 	var tasks conc.WaitGroup
 	served := make(chan error, 2)
 	tasks.Go(func() { watcher.Run(work) })
