discovery: targets that announce their leave get no more requests

Cause: the platform's servers now say in all their responses that they leave, and no request may reach such a server later than the drain bound from a host that passed on such a response, also while the host is cut off from the core and the list still shows the server as ready. Entries and sides knew only the list. The table of targets keeps the announcement with the instance: no new requests, retries, resumptions or items, and idle connections are closed. An instance that the list showed as leaving and shows as usable again has restarted, and is used.

--- a/dialect.go
+++ b/dialect.go
@@ -54,6 +54,8 @@
 	RequestID string
 	// NotRun is the target's promise that it did not and will not run the request.
 	NotRun bool
+	// Leaving is the target's announcement that it is about to stop.
+	Leaving bool
 	// Load is the target's load; it is valid only if HasLoad is set.
 	Load    TargetLoad
 	HasLoad bool
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -77,8 +77,12 @@
 	Instance rhubarbgate.Instance
 	Client   *target.Client
 
-	name     string
-	leaving  atomic.Bool
+	name    string
+	leaving atomic.Bool // as the list shows it
+	// announcedLeaving is set by a response of the target. It holds for the rest of the
+	// instance's life, whatever the list shows: the list lags, and may be out of reach.
+	announcedLeaving atomic.Bool
+
 	inFlight atomic.Int64
 	load     atomic.Pointer[loadReport]
 }
@@ -164,7 +168,13 @@
 		if current == nil || current.Instance.Service != x.Service {
 			current = t.add(k, x)
 		}
-		if current.leaving.Swap(x.Leaving) != x.Leaving {
+		wasLeaving := current.leaving.Swap(x.Leaving)
+		if wasLeaving && !x.Leaving && current.announcedLeaving.Load() {
+			// The instance restarted under its ID.
+			current.Client.CloseIdle()
+			current = t.add(k, x)
+		}
+		if wasLeaving != x.Leaving {
 			t.Logger.WithFields(log.Fields{"target": x.ID, "address": x.Address.String(), "leaving": x.Leaving}).Info("target started or stopped leaving")
 		}
 	}
@@ -180,6 +190,29 @@
 	})
 }
 
+// isLeaving reports whether the target may get no more requests.
+func (x *Target) isLeaving() bool { return x.leaving.Load() || x.announcedLeaving.Load() }
+
+// RecordLeaving records that a response of the target announced that it leaves. The
+// target gets no more requests, and its idle connections are closed.
+func (t *Table) RecordLeaving(x *Target) {
+	if x.announcedLeaving.Swap(true) {
+		return
+	}
+	x.Client.CloseIdle()
+	t.Logger.WithFields(log.Fields{"target": x.Instance.ID, "address": x.Instance.Address.String()}).Info("target announced that it leaves")
+}
+
+// RecordLeavingAt is RecordLeaving for the listed instance with the given ID and address.
+func (t *Table) RecordLeavingAt(id string, address netip.AddrPort) {
+	t.mu.RLock()
+	x := t.targets[targetKey{id, address}]
+	t.mu.RUnlock()
+	if x != nil {
+		t.RecordLeaving(x)
+	}
+}
+
 // targetName returns the name of a target for its health and as a candidate.
 func targetName(x rhubarbgate.Instance) string { return x.ID + "@" + x.Address.String() }
 
@@ -201,7 +234,7 @@
 	for _, x := range t.targets {
 		if x.Instance.Address == address {
 			instance := x.Instance
-			instance.Leaving = x.leaving.Load()
+			instance.Leaving = x.isLeaving()
 			return instance, true
 		}
 	}
@@ -216,7 +249,7 @@
 	var list []*Target
 	t.mu.RLock()
 	for _, x := range t.targets {
-		if x.Instance.Service == service && !x.leaving.Load() && !slices.Contains(tried, x) {
+		if x.Instance.Service == service && !x.isLeaving() && !slices.Contains(tried, x) {
 			list = append(list, x)
 		}
 	}
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -222,6 +222,9 @@
 func (a *attempt) checkHead() *rhubarbgate.Error {
 	s := a.server
 	a.head = s.Dialect.DecodeResponse(a.response.Status, a.response.Header)
+	if a.head.Leaving {
+		s.Targets.RecordLeaving(a.target)
+	}
 	if a.head.HasLoad {
 		s.Targets.RecordLoad(a.target, a.head.Load)
 	}
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"expvar"
 	"fmt"
@@ -370,3 +371,91 @@
 	}
 	qt.Assert(t, a.Runs(), qt.HasLen, 0)
 }
+
+// TestShutdownEndsIdleConnections guards against a stop that cuts requests: it closes
+// connections without a request at once, although a stream is in flight, and the stream
+// and a request that is sent at the start of the stop get whole responses.
+func TestShutdownEndsIdleConnections(t *testing.T) {
+	x := &platformtest.Target{Events: 30, Pace: 100 * time.Millisecond}
+	e := newEntry(t, x)
+	address := strings.TrimPrefix(e.url, "http://")
+	idle, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer idle.Close()
+	fmt.Fprintf(idle, "GET /nowhere HTTP/1.1\r\nHost: %s\r\n\r\n", host)
+	answer := bufio.NewReader(idle)
+	first, err := http.ReadResponse(answer, nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.Copy(io.Discard, first.Body)
+	qt.Assert(t, err, qt.IsNil)
+	streamed := make(chan string)
+	go func() {
+		_, body, err := e.send(context.Background(), "stream", "r", secret)
+		streamed <- fmt.Sprint(body, err)
+	}()
+	for len(e.runs("r")) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.server.StartDraining()
+	status, _, err := e.send(context.Background(), "safe", "last", secret)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, 200)
+	// The idle time counts in whole seconds, so it must be a second old.
+	time.Sleep(1100 * time.Millisecond)
+	stopped := make(chan error)
+	go func() { stopped <- e.server.Shutdown(context.Background()) }()
+	qt.Assert(t, idle.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = answer.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, <-streamed, qt.Equals, fmt.Sprint(streamText("r", 30), error(nil)))
+	qt.Assert(t, <-stopped, qt.IsNil)
+}
+
+// TestTargetThatAnnouncesItsLeaveGetsNoMoreRequests guards against sending requests to a
+// target whose responses say that it leaves, while the list, which cannot be read any more,
+// still shows it as usable: responses, refusals, streams and resumptions count alike. An
+// instance that restarts under its ID is used again.
+func TestTargetThatAnnouncesItsLeaveGetsNoMoreRequests(t *testing.T) {
+	tests := []struct {
+		name, route string
+		events      int
+		fault       platformtest.Fault
+	}{
+		{"response", "safe", 0, platformtest.None},
+		{"refusal", "unsafe", 0, platformtest.Shed},
+		{"failure", "safe", 0, platformtest.Fail},
+		{"stream", "stream", 4, platformtest.None},
+		{"stream that breaks off and is resumed", "resume", 4, platformtest.CutStream},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			leaving := &platformtest.Target{Events: test.events, AnnounceLeaving: true, Fault: onFirstAttempt(test.fault)}
+			e := newEntry(t, leaving, &platformtest.Target{Events: test.events})
+			table := e.server.Targets
+			leaving.SetDraining(true)
+			address := leaving.Address()
+			for i := range 30 {
+				_, _, err := e.send(context.Background(), test.route, fmt.Sprint(i), secret)
+				qt.Assert(t, err, qt.IsNil)
+				if x, _ := table.Find(address); x.Leaving {
+					break
+				}
+			}
+			found, _ := table.Find(address)
+			qt.Assert(t, found.Leaving, qt.IsTrue)
+			before := len(leaving.Runs())
+			for i := range 20 {
+				status, _, err := e.send(context.Background(), test.route, fmt.Sprintf("later-%d", i), secret)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, status, qt.Equals, 200)
+			}
+			qt.Assert(t, leaving.Runs(), qt.HasLen, before)
+
+			table.Refresh(context.Background())
+			leaving.SetDraining(false)
+			table.Refresh(context.Background())
+			found, _ = table.Find(address)
+			qt.Assert(t, found.Leaving, qt.IsFalse)
+		})
+	}
+}
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -106,15 +106,18 @@
 		return rhubarbgate.AsError(err)
 	}
 	defer a.Close()
-	if e := w.checkHead(a, item.ID); e != nil {
+	if e := w.checkHead(a, i, item.ID); e != nil {
 		return e
 	}
 	return t.output.readEvents(a, func() { stallTimer.Reset(itemStallTimeout) })
 }
 
 // checkHead classifies the head of an item's response.
-func (w *worker) checkHead(a *target.Response, id string) *rhubarbgate.Error {
+func (w *worker) checkHead(a *target.Response, i rhubarbgate.Instance, id string) *rhubarbgate.Error {
 	head := w.host.Dialect.DecodeResponse(a.Status, a.Header)
+	if head.Leaving {
+		w.host.Targets.RecordLeavingAt(i.ID, i.Address)
+	}
 	switch {
 	case head.NotRun:
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target refused with status %d", a.Status)
