http/target, http/events: responses without end are bounded in bytes

Cause: the platform's servers may send bytes without end, in a head or a body. A line of an event stream was collected in memory until the deadline (entries have 184 MB), an item's output grew without bound, trailer fields were read until the deadline, and an interim response counted as the final one. A response of more than 16 MiB that is not a stream was cut there and sent as complete. Events without ID and data reset the stall timer of items, so a target that sends comments kept its item for ever, and they became empty lines of output. Change: named limits for heads, interim responses, trailers, event lines and items' output; the attempt then fails as one that may have run, and the connection is closed. Bodies over 256 KiB are passed on as they arrive, up to 64 MiB; beyond that the connection breaks. Comments are no progress.

--- a/internal/http/events/reader.go
+++ b/internal/http/events/reader.go
@@ -41,22 +41,23 @@
 	var e Event
 	hasData := false
 	for {
-		line, err := r.in.ReadSlice('\n')
-		e.Raw = append(e.Raw, line...)
-		if err == bufio.ErrBufferFull && len(e.Raw) <= maxEventBytes {
-			rest, restErr := r.in.ReadBytes('\n')
-			e.Raw = append(e.Raw, rest...)
-			line, err = e.Raw[len(e.Raw)-len(rest)-bufferBytes:], restErr
+		start := len(e.Raw)
+		part, err := r.in.ReadSlice('\n')
+		e.Raw = append(e.Raw, part...)
+		for err == bufio.ErrBufferFull && len(e.Raw) <= maxEventBytes {
+			part, err = r.in.ReadSlice('\n')
+			e.Raw = append(e.Raw, part...)
 		}
+		line := e.Raw[start:]
 		if err == io.EOF && len(e.Raw) > 0 {
 			return Event{}, ErrPartial
 		}
-		if err != nil {
-			return Event{}, err
-		}
 		if len(e.Raw) > maxEventBytes {
 			return Event{}, errors.Errorf("event is longer than %d bytes", maxEventBytes)
 		}
+		if err != nil {
+			return Event{}, err
+		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			return e, nil
--- a/internal/http/events/reader_test.go
+++ b/internal/http/events/reader_test.go
@@ -61,3 +61,22 @@
 		}
 	})
 }
+
+// endless returns the same byte for ever and counts the bytes.
+type endless struct{ read int }
+
+func (e *endless) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = 'x'
+	}
+	e.read += len(b)
+	return len(b), nil
+}
+
+// TestEndlessLine guards against a line without end that is collected in memory.
+func TestEndlessLine(t *testing.T) {
+	in := &endless{}
+	_, err := NewReader(io.MultiReader(strings.NewReader("data: "), io.LimitReader(in, 64<<20))).Next()
+	qt.Assert(t, err, qt.ErrorMatches, "event is longer than .* bytes")
+	qt.Assert(t, in.read <= 2*maxEventBytes, qt.IsTrue, qt.Commentf("%d bytes read", in.read))
+}
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -19,8 +19,11 @@
 	// maxAttempts bounds how often one request is sent, including attempts that targets
 	// refused without running it. Each resumption of a stream may use as many again.
 	maxAttempts = 4
-	// maxResponseBytes bounds what is read of a response that is not streamed.
-	maxResponseBytes = 16 << 20
+	// maxBufferedBytes is the longest body that is read whole before the caller gets its
+	// head, so that a request can be retried if the body breaks off.
+	maxBufferedBytes = 256 << 10
+	// maxResponseBytes bounds a longer body, which is passed on as it arrives.
+	maxResponseBytes = 64 << 20
 	// noTargetRetryAfter is the Retry-After for a service that has no free slot or no
 	// target: about the time for which a request holds a slot.
 	noTargetRetryAfter = 300 * time.Millisecond
@@ -270,7 +273,7 @@
 	if a.x.Route.Kind == rhubarbgate.Streaming && a.response.Status == fasthttp.StatusOK {
 		return a.startStream()
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes+1))
 	if err != nil {
 		a.server.Counts.TruncatedResponses.Add(1)
 		a.finish(true)
@@ -283,6 +286,10 @@
 		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.Ran, "target %s answered with status %d", a.target.Instance.ID, status)
 	}
 	a.copyHead()
+	if len(body) > maxBufferedBytes {
+		a.x.HTTP.Response.SetBodyStream(&longBody{attempt: a, buffered: body, remaining: maxResponseBytes - len(body)}, -1)
+		return nil
+	}
 	a.finish(failed)
 	a.x.HTTP.Response.SetBodyRaw(body)
 	return nil
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -459,3 +459,30 @@
 		})
 	}
 }
+
+// TestLongBodies guards against a long response that is cut and passed on as complete,
+// whether its target breaks off or it is longer than an entry passes on.
+func TestLongBodies(t *testing.T) {
+	tests := []struct {
+		name     string
+		bytes    int
+		fault    platformtest.Fault
+		complete bool
+	}{
+		{"complete", 20 << 20, platformtest.None, true},
+		{"the target breaks off", 20 << 20, platformtest.CutStream, false},
+		{"without an end in sight", maxResponseBytes + 1, platformtest.None, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEntry(t, &platformtest.Target{BodyBytes: test.bytes, Fault: func(string, int) platformtest.Fault { return test.fault }})
+			status, body, err := e.send(context.Background(), "unsafe", "r", secret)
+			if test.complete {
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, len(body), qt.Equals, test.bytes)
+				return
+			}
+			qt.Assert(t, err != nil || status >= 500 && status != 503, qt.IsTrue, qt.Commentf("status %d, %d bytes", status, len(body)))
+		})
+	}
+}
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -114,6 +114,52 @@
 	return append(r, rhubarbgate.Header{Name: name, Value: value})
 }
 
+// longBody is the body of a response that is passed on to the caller as it arrives. After an
+// error the HTTP server closes the connection without ending the body.
+type longBody struct {
+	*attempt
+	buffered  []byte // read from the target, and not returned by Read yet
+	remaining int    // of maxResponseBytes
+	closed    bool
+}
+
+// Read implements io.Reader for the HTTP server.
+func (l *longBody) Read(b []byte) (int, error) {
+	if len(l.buffered) > 0 {
+		n := copy(b, l.buffered)
+		l.buffered = l.buffered[n:]
+		return n, nil
+	}
+	n, err := l.response.Read(b)
+	l.remaining -= n
+	switch {
+	case l.remaining < 0:
+		err = errors.Errorf("the response has more than %d bytes", maxResponseBytes)
+	case err == io.EOF:
+		l.finish(false)
+		return n, io.EOF
+	}
+	if err != nil {
+		l.server.Counts.TruncatedResponses.Add(1)
+		e := l.truncationError(err)
+		l.finish(e.Code == rhubarbgate.CodeUpstream)
+		l.server.Logger.WithFields(l.x.fields(l.server.Clock.Now())).Info("response truncated: " + e.Message)
+	}
+	return n, err
+}
+
+// Close implements io.Closer. The HTTP server calls it when the response was sent or the
+// caller disconnected.
+func (l *longBody) Close() error {
+	if l.closed {
+		return errAlreadyClosed
+	}
+	l.closed = true
+	l.finish(false)
+	l.server.finish(l.x)
+	return nil
+}
+
 // errAlreadyClosed reports a second Close of a stream's body.
 const errAlreadyClosed = errors.ConstError("the stream's body is already closed")
 
--- a/internal/http/target/body.go
+++ b/internal/http/target/body.go
@@ -11,6 +11,9 @@
 // chunk, or in a way that does not show whether it is complete.
 const errTruncated = errors.ConstError("the answer was cut short")
 
+// maxTrailerBytes bounds the trailer fields after a chunked body.
+const maxTrailerBytes = 4 << 10
+
 // lengthReader reads a body with a Content-Length.
 type lengthReader struct {
 	r         io.Reader
@@ -59,7 +62,7 @@
 		}
 		return n, err
 	}
-	for {
+	for read := 0; read < maxTrailerBytes; {
 		line, trailerErr := c.trailer.ReadSlice('\n')
 		if trailerErr != nil {
 			return n, errTruncated
@@ -67,5 +70,7 @@
 		if len(line) <= 2 {
 			return n, io.EOF
 		}
+		read += len(line)
 	}
+	return n, errTruncated
 }
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -28,8 +28,15 @@
 	dialTimeout = time.Second
 	// maxIdleConns bounds the idle connections kept open to one target.
 	maxIdleConns = 64
+	// maxHeadBytes bounds the status line and the headers of a response.
+	maxHeadBytes = 4 << 10
+	// maxInterimResponses bounds the responses with a status 1xx before the final one.
+	maxInterimResponses = 4
 )
 
+// errTooManyInterim reports more than maxInterimResponses.
+const errTooManyInterim = errors.ConstError("the target sends interim responses without end")
+
 // Header is one HTTP header.
 type Header = rhubarbgate.Header
 
@@ -150,7 +157,11 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), writer: bufio.NewWriter(raw)}, nil
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, maxHeadBytes), writer: bufio.NewWriter(raw)}
 }
 
 // canCarry reports whether a connection was idle so briefly that the target is unlikely
@@ -220,10 +231,21 @@
 		return nil, errors.Trace(err)
 	}
 	var h fasthttp.ResponseHeader
-	if err := h.Read(cn.reader); err != nil {
-		return nil, errors.Trace(err)
+	for range maxInterimResponses + 1 {
+		if err := h.Read(cn.reader); err != nil {
+			return nil, errors.Trace(err)
+		}
+		if !isInterim(h.StatusCode()) {
+			return cn.response(&h, r.Method == fasthttp.MethodHead, c.CloseDelimited), nil
+		}
 	}
-	return cn.response(&h, r.Method == fasthttp.MethodHead, c.CloseDelimited), nil
+	return nil, errTooManyInterim
+}
+
+// isInterim reports whether another response follows one with this status. After a switch
+// of protocols none does.
+func isInterim(status int) bool {
+	return status >= fasthttp.StatusContinue && status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
 }
 
 // response returns a Response for the head h, with a reader that fits the kind of body.
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -136,7 +136,7 @@
 
 // readEvents appends the events of a response until its complete end, and calls
 // onEvent for each.
-func (o *output) readEvents(a *target.Response, onEvent func()) *rhubarbgate.Error {
+func (o *output) readEvents(a io.Reader, onEvent func()) *rhubarbgate.Error {
 	r := events.NewReader(a)
 	for {
 		e, err := r.Next()
@@ -146,11 +146,21 @@
 		if err != nil {
 			return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target's answer broke off: %v", err)
 		}
+		if e.ID == "" && e.Data == nil {
+			continue // a comment, which keeps a stalled stream open and is no output
+		}
 		onEvent()
 		if o.LastID != "" || len(o.Text) > 0 {
 			o.Text = append(o.Text, '\n')
 		}
 		o.Text = append(o.Text, e.Data...)
-		o.LastID = e.ID
+		if len(o.Text) > maxItemResponseBytes {
+			// Output that long is not the item's, so no other attempt may continue it.
+			*o = output{}
+			return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the item's output has more than %d bytes", maxItemResponseBytes)
+		}
+		if e.ID != "" {
+			o.LastID = e.ID
+		}
 	}
 }
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,3 +113,24 @@
 	err := <-done
 	qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
 }
+
+// TestCommentsAreNoProgress guards against a stalled stream that never ends because its
+// target sends comments, and against comments that become part of the output.
+func TestCommentsAreNoProgress(t *testing.T) {
+	stream := "id: 1\ndata: a\n\n" + strings.Repeat(": wait\n\n", 3) + "id: 2\ndata: b\n\n"
+	var o output
+	progress := 0
+	err := o.readEvents(strings.NewReader(stream), func() { progress++ })
+	qt.Assert(t, err == nil, qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, progress, qt.Equals, 2)
+	qt.Assert(t, o, qt.DeepEquals, output{LastID: "2", Text: []byte("a\nb")})
+}
+
+// TestEndlessOutput guards against an item's output without end that fills the memory.
+func TestEndlessOutput(t *testing.T) {
+	event := "id: 1\ndata: " + strings.Repeat("x", 1<<16) + "\n\n"
+	var o output
+	err := o.readEvents(strings.NewReader(strings.Repeat(event, 64)), func() {})
+	qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
+	qt.Assert(t, o, qt.DeepEquals, output{})
+}
