wire, http, config: a malformed message ends one call, not the process

Cause: no handler recovered from panics, so one request or message that hit a fault ended the process with all that it served. A bundle with a NaN or an infinite number has no digest and panicked in Apply, so that a committed one would have ended every control host again at each restart; from a peer also before its signatures were checked. A change of the callers' limits left the checksum of the former ones in Sum. Change: panics of handlers of RPCs and HTTP requests, and of bodies while they are read, are logged with their stack and become an internal error that may have run. CheckFinite rejects such bundles before digests, signatures and Apply. Invariants of the log still end their process on purpose.

--- a/internal/http/caller/server.go
+++ b/internal/http/caller/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/recover"
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
@@ -107,6 +108,7 @@
 		ErrorHandler:          s.writeError,
 		ReadBufferSize:        16 << 10,
 	})
+	s.app.Use(recover.New(recover.Config{EnableStackTrace: true}))
 	keyed := []Filter{&keyFilter{server: s}, &rateFilter{server: s}}
 	online := Chain(s.forward, &keyFilter{server: s}, &routeFilter{server: s}, &rateFilter{server: s}, &claimFilter{server: s})
 	s.app.Get("/healthz", s.health)
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -486,3 +486,24 @@
 		})
 	}
 }
+
+// panickingPicker panics, as a fault anywhere in the handling of a request may.
+type panickingPicker struct{}
+
+func (panickingPicker) Pick(rhubarbgate.PickRequest, []rhubarbgate.Candidate) int { panic("fault") }
+
+// TestPanicEndsOnlyItsRequest guards against one request that ends the entry, and against
+// a response to it that promises that nothing ran.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	e := newEntry(t, &platformtest.Target{})
+	working := e.server.Picker
+	e.server.Picker = panickingPicker{}
+	status, _, err := e.send(context.Background(), "safe", "r1", secret)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status >= 500 && status != 503, qt.IsTrue, qt.Commentf("status %d", status))
+	e.server.Picker = working
+	status, _, err = e.send(context.Background(), "safe", "r2", secret)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, 200)
+	qt.Assert(t, e.server.InFlight(), qt.Equals, 0)
+}
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,9 +66,10 @@
 
 // Counters are the expvar counters of a Server: requests received and refused, retries,
 // streams resumed at another target, responses that were truncated or that belong to
-// another request, requests that targets refused, and callers that disconnected.
+// another request, requests that targets refused, callers that disconnected, and requests
+// whose handling panicked.
 type Counters struct {
-	Requests, Refused, Retries, Resumed, TruncatedResponses, MismatchedResponses, TargetRefusals, DisconnectedCallers *expvar.Int
+	Requests, Refused, Retries, Resumed, TruncatedResponses, MismatchedResponses, TargetRefusals, DisconnectedCallers, Panics *expvar.Int
 }
 
 // NewCounters creates the counters and publishes them in m.
@@ -79,6 +82,7 @@
 	return &Counters{
 		Requests: counter("Requests"), Refused: counter("Refused"), Retries: counter("Retries"), Resumed: counter("Resumed"), TruncatedResponses: counter("AnswersCut"),
 		MismatchedResponses: counter("AnswersOfOthers"), TargetRefusals: counter("TargetsRefused"), DisconnectedCallers: counter("CallersLeft"),
+		Panics: counter("Panics"),
 	}
 }
 
@@ -147,6 +151,7 @@
 	if s.draining.Load() {
 		c.SetConnectionClose()
 	}
+	defer s.recoverExchange(x)
 	call, err := s.Dialect.DecodeCall(string(c.Method()), string(c.RequestURI()), func(name string) string {
 		return string(c.Request.Header.Peek(name))
 	})
@@ -162,6 +167,26 @@
 	}
 }
 
+// recoverExchange responds with an internal error if the handling of the exchange panicked,
+// so that one request cannot end the process. Nothing is known of what ran.
+func (s *Server) recoverExchange(x *Exchange) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	s.logPanic(x, p)
+	s.refuse(x, rhubarbgate.Errorf(rhubarbgate.CodeInternal, rhubarbgate.MayHaveRun, "internal error"))
+	s.finish(x)
+}
+
+// logPanic logs a panic with its stack.
+func (s *Server) logPanic(x *Exchange, value any) {
+	s.Counts.Panics.Add(1)
+	f := x.fields(s.Clock.Now())
+	f["stack"] = string(debug.Stack())
+	s.Logger.WithFields(f).Error(fmt.Sprintf("panic: %v", value))
+}
+
 // finish releases the resources of the exchange. Call it once, after the response.
 func (s *Server) finish(x *Exchange) {
 	x.stopWatch()
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -51,7 +51,8 @@
 // another target if the route allows. Otherwise, or if that fails, it returns an error, and
 // the HTTP server closes the connection without ending the body: a truncated response
 // never looks complete.
-func (r *streamBody) Read(b []byte) (int, error) {
+func (r *streamBody) Read(b []byte) (n int, err error) {
+	defer r.recoverRead(&err)
 	for len(r.unread) == 0 {
 		e, err := r.events.Next()
 		if err == nil {
@@ -66,11 +67,20 @@
 			return 0, err
 		}
 	}
-	n := copy(b, r.unread)
+	n = copy(b, r.unread)
 	r.unread = r.unread[n:]
 	return n, nil
 }
 
+// recoverRead turns a panic while a body is read into an error, which breaks the caller's
+// connection.
+func (a *attempt) recoverRead(err *error) {
+	if p := recover(); p != nil {
+		a.server.logPanic(a.x, p)
+		*err = errors.Errorf("internal error: %v", p)
+	}
+}
+
 // resume continues the stream at another target after the last event that was passed on,
 // and reports whether it could.
 func (r *streamBody) resume(cause error) bool {
@@ -124,13 +134,14 @@
 }
 
 // Read implements io.Reader for the HTTP server.
-func (l *longBody) Read(b []byte) (int, error) {
+func (l *longBody) Read(b []byte) (n int, err error) {
+	defer l.recoverRead(&err)
 	if len(l.buffered) > 0 {
 		n := copy(b, l.buffered)
 		l.buffered = l.buffered[n:]
 		return n, nil
 	}
-	n, err := l.response.Read(b)
+	n, err = l.response.Read(b)
 	l.remaining -= n
 	switch {
 	case l.remaining < 0:
--- a/internal/http/operator/server.go
+++ b/internal/http/operator/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/recover"
 	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate"
@@ -74,6 +75,7 @@
 // Prepare registers the routes. Call it once, before Serve.
 func (s *Server) Prepare() {
 	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: maxBodyBytes, ErrorHandler: writeError})
+	s.app.Use(recover.New(recover.Config{EnableStackTrace: true}))
 	s.app.Use(s.authenticate)
 	s.app.Get("/v1/status", s.status)
 	s.app.Get("/v1/configuration", s.configuration)
--- a/internal/rpc/wire/mux.go
+++ b/internal/rpc/wire/mux.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"slices"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
@@ -31,6 +34,9 @@
 
 // Mux dispatches RPCs by method name. All methods must be registered before Serve.
 type Mux struct {
+	// OnPanic, if set, is called after a handler panicked.
+	OnPanic func(method string, value any, stack []byte)
+
 	methods map[string]method
 }
 
@@ -39,6 +45,13 @@
 	return &Mux{methods: map[string]method{}}
 }
 
+// LogPanics returns a function for Mux.OnPanic that logs to l.
+func LogPanics(l log.Interface) func(method string, value any, stack []byte) {
+	return func(method string, value any, stack []byte) {
+		l.WithField("method", method).WithField("stack", string(stack)).Error(fmt.Sprintf("panic: %v", value))
+	}
+}
+
 // Unary registers a method with one request and one reply. Only peers with one of the
 // roles may call it. On connections without TLS the role is not checked.
 func Unary[In, Out any](m *Mux, name string, roles []Role, f func(context.Context, *In) (*Out, error)) {
@@ -87,6 +100,20 @@
 	if p := PeerFrom(s.Context()); p.TLS && !slices.Contains(h.roles, p.Role) {
 		return errors.Forbiddenf("method %q to role %v", name, p.Role)
 	}
+	return m.recovered(s, name, h)
+}
+
+// recovered calls the handler. A panic, such as one that a malformed message causes, ends
+// only this call: the process serves others and holds state that a restart would lose.
+func (m *Mux) recovered(s drpc.Stream, name string, h method) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			if m.OnPanic != nil {
+				m.OnPanic(name, p, debug.Stack())
+			}
+			err = errors.Errorf("method %q: internal error", name)
+		}
+	}()
 	return h.handle(s)
 }
 
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -117,6 +117,9 @@
 	c.Objectives = merge(c, "o", c.Objectives, b.Put.Objectives, b.Remove.Objectives, func(x rhubarbgate.Objective) string { return x.Name })
 	c.Services = merge(c, "s", c.Services, b.Put.Services, nil, func(x rhubarbgate.Service) string { return x.Name })
 	if b.Put.Limits != nil {
+		if c.Limits != nil {
+			c.Sum ^= objectChecksum("l", c.Limits)
+		}
 		c.Limits = b.Put.Limits
 		c.Sum ^= objectChecksum("l", b.Put.Limits)
 	}
@@ -152,8 +155,8 @@
 func objectChecksum(kind string, x any) uint64 {
 	b, err := json.Marshal(x)
 	if err != nil {
-		// The types hold only strings, numbers and addresses, of which only a NaN and
-		// infinities cannot be encoded.
+		// The types hold only strings, numbers and addresses. CheckFinite rejects the
+		// numbers that cannot be encoded.
 		panic(err)
 	}
 	return xxhash.Sum64(append([]byte(kind), b...))
--- a/internal/state/config/digest.go
+++ b/internal/state/config/digest.go
@@ -16,8 +16,8 @@
 	u.Signatures = nil
 	j, err := json.Marshal(&u)
 	if err != nil {
-		// The types hold only strings, numbers and addresses, of which only a NaN and
-		// infinities cannot be encoded.
+		// The types hold only strings, numbers and addresses. CheckFinite rejects the
+		// numbers that cannot be encoded.
 		panic(err)
 	}
 	d := sha256.Sum256(j)
@@ -40,8 +40,12 @@
 }
 
 // Verify checks that at least Threshold operators signed the bundle. A signature
-// that is invalid or of an unknown operator is an error, whatever the others are.
+// that is invalid or of an unknown operator is an error, whatever the others are, and so is
+// a bundle that CheckFinite rejects.
 func (o Operators) Verify(b *rhubarbgate.Bundle) error {
+	if err := CheckFinite(b); err != nil {
+		return err
+	}
 	d := Digest(b)
 	signers := map[string]bool{}
 	for _, s := range b.Signatures {
--- a/internal/state/config/full.go
+++ b/internal/state/config/full.go
@@ -10,6 +10,9 @@
 // ValidateFull checks a bundle that holds a full configuration. It returns an
 // *rhubarbgate.Error that names the first invalid object and the reason.
 func ValidateFull(b *rhubarbgate.Bundle) error {
+	if err := CheckFinite(b); err != nil {
+		return err
+	}
 	c := FromSection(b.Version, nil, b.Put)
 	v := &validation{config: c}
 	v.check(b.Version > 0, "Version", "is missing")
--- a/internal/state/fleet/full_test.go
+++ b/internal/state/fleet/full_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
 
 // fullBundle returns a bundle that holds a full configuration with one route.
@@ -75,3 +77,49 @@
 	m.putHost(record(9, "b", 1))
 	qt.Assert(t, m.Hosts(), qt.HasLen, 4, qt.Commentf("a host with a new ID replaces the earlier one at its address"))
 }
+
+// TestNumbersWithoutJSON guards against a bundle with a NaN or an infinite number, which
+// has no digest: a committed one would end every control host, again at each restart.
+func TestNumbersWithoutJSON(t *testing.T) {
+	tests := []struct {
+		name string
+		set  func(*rhubarbgate.Bundle, float64)
+	}{
+		{"weight", func(b *rhubarbgate.Bundle, x float64) { b.Put.Routes[0].Split[0].Weight = x }},
+		{"rate", func(b *rhubarbgate.Bundle, x float64) {
+			b.Put.Workspaces = []rhubarbgate.Workspace{{Name: "w", Rate: x}}
+		}},
+		{"burst", func(b *rhubarbgate.Bundle, x float64) {
+			b.Put.Workspaces = []rhubarbgate.Workspace{{Name: "w", Burst: x}}
+		}},
+		{"goal", func(b *rhubarbgate.Bundle, x float64) {
+			b.Put.Objectives = []rhubarbgate.Objective{{Name: "o", Goal: x}}
+		}},
+	}
+	for _, test := range tests {
+		for _, x := range []float64{math.NaN(), math.Inf(1)} {
+			for _, whole := range []bool{true, false} {
+				for _, version := range []uint64{1, 5} {
+					m := New()
+					m.commit(fullBundle(3, "three"))
+					b := fullBundle(version, "x")
+					b.Whole = whole
+					test.set(b, x)
+					r, changed := m.commit(b)
+					qt.Check(t, r.Err, qt.IsNotNil, qt.Commentf("%s %v", test.name, x))
+					qt.Check(t, changed, qt.IsFalse)
+					qt.Check(t, config.Operators{}.Verify(b), qt.IsNotNil)
+				}
+			}
+		}
+	}
+}
+
+// TestChecksumWithLimits guards against a checksum that depends on the limits that were in
+// force before: a process that gets the change and one that gets all objects must agree.
+func TestChecksumWithLimits(t *testing.T) {
+	first, second := rhubarbgate.Section{Limits: &rhubarbgate.CallerLimits{BodyBytes: 1}}, rhubarbgate.Section{Limits: &rhubarbgate.CallerLimits{BodyBytes: 2}}
+	c, err := config.FromSection(1, nil, first).With(&rhubarbgate.Bundle{Base: 1, Version: 2, Put: second})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Sum, qt.Equals, config.FromSection(2, nil, c.Section()).Sum)
+}
--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -110,6 +110,9 @@
 func (m *Machine) commit(b *rhubarbgate.Bundle) (*CommitResult, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := config.CheckFinite(b); err != nil {
+		return &CommitResult{Err: rhubarbgate.AsError(err), Version: m.current.Version}, false
+	}
 	if b.Version <= m.current.Version {
 		if b.Whole {
 			return m.staleFullResult(b), false
