role/side: an item's headers cannot set what the system sets

Cause: the headers of a submitted item were sent as they came, before those of the system: a forged workspace or instance, a second ID, the submitter's key or a Content-Length of its own reached the target. Change: items pass the filter of forwarded requests, without the headers that the side sets and without a position to resume from. Result: TestItemHeadersAreFiltered fails before and passes.

--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -143,23 +142,13 @@
 	}
 	for k, v := range h.All() {
 		name := string(k)
-		if !hopByHop(name) && s.Dialect.Forwards(name) {
+		if !target.HopByHop(name) && s.Dialect.Forwards(name) {
 			q.Headers = append(q.Headers, rhubarbgate.Header{Name: name, Value: string(v)})
 		}
 	}
 	return q
 }
 
-// hopByHop reports whether a header is not forwarded: it concerns a single connection, is
-// set by the HTTP client itself, or holds the caller's key.
-func hopByHop(name string) bool {
-	switch strings.ToLower(name) {
-	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "host", "authorization", "expect":
-		return true
-	}
-	return false
-}
-
 // send makes attempt number n: it sends the request to one target and checks the head of
 // the response.
 func (q *forwardedRequest) send(n int) (*attempt, *rhubarbgate.Error) {
@@ -300,7 +289,7 @@
 	r := &a.x.HTTP.Response
 	r.SetStatusCode(a.response.Status)
 	for _, h := range a.response.Headers {
-		if !hopByHop(h.Name) {
+		if !target.HopByHop(h.Name) {
 			r.Header.Add(h.Name, h.Value)
 		}
 	}
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -53,6 +53,16 @@
 	Idempotent bool
 }
 
+// HopByHop reports whether a header is not forwarded: it concerns a single connection, is
+// set by the HTTP client itself, or holds the caller's key.
+func HopByHop(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "host", "authorization", "expect":
+		return true
+	}
+	return false
+}
+
 // Client sends requests to one target and keeps its idle connections. It never retries
 // a request. The verdict of its errors is NotRun only if no connection could be opened,
 // so that no byte of the request was written.
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -92,11 +94,11 @@
 		return rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "item: %v", err)
 	}
 	q := &target.Request{Method: http.MethodPost, Host: route.Path.Host, Path: item.Path, Body: item.Body, Idempotent: true}
-	q.Headers = append(q.Headers, item.Headers...)
-	q.Headers = append(q.Headers, h.Dialect.TargetHeaders(rhubarbgate.TargetCall{Request: item.ID, Instance: i.ID, Workspace: t.grant.Workspace})...)
+	own := h.Dialect.TargetHeaders(rhubarbgate.TargetCall{Request: item.ID, Instance: i.ID, Workspace: t.grant.Workspace})
 	if t.output.LastID != "" {
-		q.Headers = append(q.Headers, rhubarbgate.Header{Name: lastEventHeader, Value: t.output.LastID})
+		own = append(own, rhubarbgate.Header{Name: lastEventHeader, Value: t.output.LastID})
 	}
+	q.Headers = append(forwardedHeaders(h.Dialect, item.Headers, own), own...)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
 	stallTimer := w.clock.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
@@ -112,6 +114,19 @@
 	return t.output.readEvents(a, func() { stallTimer.Reset(itemStallTimeout) })
 }
 
+// forwardedHeaders returns the headers of an item that may reach a target. Its submitter may
+// not set those that the system sets, nor pass on its key.
+func forwardedHeaders(d rhubarbgate.Dialect, headers, own []rhubarbgate.Header) []rhubarbgate.Header {
+	var kept []rhubarbgate.Header
+	for _, x := range headers {
+		isOwn := slices.ContainsFunc(own, func(o rhubarbgate.Header) bool { return strings.EqualFold(o.Name, x.Name) })
+		if !isOwn && !target.HopByHop(x.Name) && d.Forwards(x.Name) && !strings.EqualFold(x.Name, lastEventHeader) {
+			kept = append(kept, x)
+		}
+	}
+	return kept
+}
+
 // checkHead classifies the head of an item's response.
 func (w *worker) checkHead(a *target.Response, i rhubarbgate.Instance, id string) *rhubarbgate.Error {
 	head := w.host.Dialect.DecodeResponse(a.Status, a.Header)
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -126,6 +126,29 @@
 	qt.Assert(t, o, qt.DeepEquals, output{LastID: "2", Text: []byte("a\nb")})
 }
 
+// TestItemHeadersAreFiltered guards against an item whose submitter sets the workspace, the
+// instance, the ID or the position of the run, or passes a key on to the target.
+func TestItemHeadersAreFiltered(t *testing.T) {
+	x := &platformtest.Target{}
+	w, task := newBatchOnlyWorker(t, x, clockwork.NewRealClock())
+	item := rhubarbgate.JobItem{ID: "item", Path: "/b/x", Headers: []rhubarbgate.Header{
+		{Name: "X-Model", Value: "m"}, {Name: "Authorization", Value: "Bearer k"}, {Name: "x-tenant", Value: "forged"},
+		{Name: "X-Request-Id", Value: "other"}, {Name: "X-Expect-Instance", Value: "i-9"}, {Name: "Last-Event-Id", Value: "4"},
+		{Name: "Connection", Value: "close"}, {Name: "Content-Length", Value: "999"},
+	}}
+	var err error
+	task.grant.Line, err = wire.Marshal(&item)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, w.streamItem(context.Background(), task) == nil, qt.IsTrue)
+	r := x.Runs()
+	qt.Assert(t, r, qt.HasLen, 1)
+	qt.Assert(t, r[0].ID, qt.Equals, "item")
+	qt.Assert(t, r[0].Tenant, qt.Equals, "w")
+	qt.Assert(t, r[0].Authorization, qt.Equals, "")
+	qt.Assert(t, r[0].LastEvent, qt.Equals, "")
+	qt.Assert(t, string(task.output.Text), qt.Equals, platformtest.Output("item", 10))
+}
+
 // TestEndlessOutput guards against an item's output without end that fills the memory.
 func TestEndlessOutput(t *testing.T) {
 	event := "id: 1\ndata: " + strings.Repeat("x", 1<<16) + "\n\n"
