--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -172,7 +172,7 @@
 		if wasLeaving && !x.Leaving && current.announcedLeaving.Load() {
 			// The instance restarted under its ID.
 			current.Client.CloseIdle()
-			current = t.add(k, x)
+			t.add(k, x)
 		}
 		if wasLeaving != x.Leaving {
 			t.Logger.WithFields(log.Fields{"target": x.ID, "address": x.Address.String(), "leaving": x.Leaving}).Info("target started or stopped leaving")
