platform list: one reader, whose list the registrations carry

A trial on a scratch copy counted the reads: five control hosts every 0.9 s, and 956 by entries and sides, because the list that a held poll confirms counted as up to 3.0 s old, above the 2.2 s from which a daemon reads it itself. Each of 88 daemons also read it at its start. Change: the leader of the fleet group alone reads the list, every 0.6 s, and sends it with the replies to registrations; another control host reads it if it got none for 1.6 s. Replies say how long they were held, so that this time is no age, of the list nor of the configuration. A daemon that starts waits a second for the list; it reads it itself when it is 2.6 s old. A change reaches a daemon within about 1.1 s (0.6 + 0.4 + the push), was 1.0 s.

--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -51,7 +51,7 @@
 // replyToPoll builds the reply to a poll. If the poller has the current version and
 // list, it first waits for a change, as long as the poll allows.
 func replyToPoll(ctx context.Context, s Source, clock clockwork.Clock, p *control.Poll) *control.PollReply {
-	changed := s.Changed()
+	changed, receivedAt := s.Changed(), clock.Now()
 	if list, _ := s.Targets(); s.Current().Version <= p.Version && list.Digest == p.Targets && p.Wait > 0 {
 		t := clock.NewTimer(min(p.Wait, maxPollHold))
 		defer t.Stop()
@@ -63,10 +63,11 @@
 	}
 	// Read the age first: a configuration that is read later can only be newer than
 	// the age says.
-	age := clock.Now().Sub(s.ConfirmedAt())
+	now := clock.Now()
+	age := now.Sub(s.ConfirmedAt())
 	c := s.Current()
-	r := &control.PollReply{Version: c.Version, Digest: c.Digest, Sum: c.Sum, Age: age, Groups: s.Groups(), Backlog: s.Backlog(), Peers: s.Peers()}
-	r.Targets = targetListReply(s, clock, p)
+	r := &control.PollReply{Version: c.Version, Digest: c.Digest, Sum: c.Sum, Age: age, Held: now.Sub(receivedAt), Groups: s.Groups(), Backlog: s.Backlog(), Peers: s.Peers()}
+	r.Targets = TargetListReply(s, now, p.Targets)
 	if c.Version <= p.Version {
 		return r
 	}
@@ -83,15 +84,15 @@
 	return r
 }
 
-// targetListReply returns the list of targets, without its instances if the poller
-// holds the same list. It returns nil if no list is known.
-func targetListReply(s Source, clock clockwork.Clock, p *control.Poll) *control.TargetList {
+// TargetListReply returns the list of targets, without its instances if the process that
+// asks holds the list with this digest. It returns nil if no list is known.
+func TargetListReply(s Source, now time.Time, digest uint64) *control.TargetList {
 	list, requestedAt := s.Targets()
 	if list.Digest == 0 {
 		return nil
 	}
-	list.Age = clock.Now().Sub(requestedAt)
-	if list.Digest == p.Targets {
+	list.Age = now.Sub(requestedAt)
+	if list.Digest == digest {
 		list.Instances = nil
 	}
 	return &list
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -159,14 +159,16 @@
 		return false
 	}
 	w.groups = r.Groups
-	targetsChanged := w.applyTargets(r.Targets, sent)
+	// The reply left the parent no earlier than this.
+	repliedAt := sent.Add(r.Held)
+	targetsChanged := w.applyTargets(r.Targets, repliedAt)
 	if len(r.Peers.Controls) > 0 {
 		w.peers = r.Peers
 		if w.OnPeers != nil {
 			w.OnPeers(r.Peers)
 		}
 	}
-	if at := sent.Add(-r.Age); r.Version <= w.current.Version && at.After(w.confirmedAt) {
+	if at := repliedAt.Add(-r.Age); r.Version <= w.current.Version && at.After(w.confirmedAt) {
 		w.confirmedAt = at
 	}
 	newNeeds := HasNewElement(w.backlog, r.Backlog)
@@ -183,11 +185,11 @@
 
 // applyTargets applies a list of targets that was requested later than the current
 // one, and reports whether its content differs. The lock is held.
-func (w *Watcher) applyTargets(list *control.TargetList, sent time.Time) bool {
+func (w *Watcher) applyTargets(list *control.TargetList, repliedAt time.Time) bool {
 	if list == nil {
 		return false
 	}
-	at := sent.Add(-list.Age)
+	at := repliedAt.Add(-list.Age)
 	if !at.After(w.targetsRequestedAt) {
 		return false
 	}
--- a/internal/controller/configuration/watcher_test.go
+++ b/internal/controller/configuration/watcher_test.go
@@ -138,3 +138,31 @@
 	_, at := w.Targets()
 	qt.Assert(t, at, qt.Equals, clock.Now())
 }
+
+// TestHeldReplyIsNoOlder guards against counting the time for which a parent held its reply
+// as age: daemons would take a list of targets that is sent to them every second for one
+// that is out of date, and all would read it from the platform.
+func TestHeldReplyIsNoOlder(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	parent, child := newWatcher(clock), newWatcher(clock)
+	versions, _ := history(1)
+	section := versions[1].Section()
+	list := &control.TargetList{Digest: 7, Instances: []rhubarbgate.Instance{{ID: "i"}}}
+	reply := &control.PollReply{Version: 1, Sum: versions[1].Sum, Section: &section, Groups: 1, Targets: list}
+	qt.Assert(t, parent.ApplyReply(reply, clock.Now()), qt.IsTrue)
+	qt.Assert(t, child.ApplyReply(reply, clock.Now()), qt.IsTrue)
+	sent := clock.Now()
+	replies := make(chan *control.PollReply)
+	go func() {
+		replies <- replyToPoll(t.Context(), parent, clock, &control.Poll{Version: 1, Wait: time.Second, Targets: 7})
+	}()
+	qt.Assert(t, clock.BlockUntilContext(t.Context(), 1), qt.IsNil)
+	clock.Advance(900 * time.Millisecond)
+	parent.ApplyReply(&control.PollReply{Version: 1, Sum: versions[1].Sum, Groups: 1, Targets: &control.TargetList{Digest: 7}}, clock.Now())
+	clock.Advance(100 * time.Millisecond)
+	confirmedAt := clock.Now().Add(-100 * time.Millisecond)
+	qt.Assert(t, child.ApplyReply(<-replies, sent), qt.IsTrue)
+	_, listedAt := child.Targets()
+	qt.Assert(t, child.ConfirmedAt().Equal(confirmedAt), qt.IsTrue, qt.Commentf("%v", clock.Since(child.ConfirmedAt())))
+	qt.Assert(t, listedAt.Equal(confirmedAt), qt.IsTrue, qt.Commentf("%v", clock.Since(listedAt)))
+}
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -24,11 +24,15 @@
 
 const (
 	// maxListAge is the age of the list above which a process requests it from the
-	// platform itself, because no control host has sent a newer one; the age is
-	// checked every listCheckInterval. A leaving target must stop getting requests
-	// within seconds.
-	maxListAge        = 2200 * time.Millisecond
-	listCheckInterval = 700 * time.Millisecond
+	// platform itself, because no control host has sent a newer one. A leaving target
+	// must stop getting requests within seconds.
+	maxListAge = 2600 * time.Millisecond
+	// listRetryInterval is the time between two requests for the list.
+	listRetryInterval = 700 * time.Millisecond
+	// firstListWait is how long a process that starts waits for a control host to send
+	// the list before it requests it from the platform. A process without configuration
+	// needs no list, and hosts that start together would all request it.
+	firstListWait = time.Second
 	// listTimeout bounds one request for the list.
 	listTimeout = 1500 * time.Millisecond
 	// dialTimeout bounds the opening of a connection: far above the round trip between
@@ -102,25 +106,31 @@
 }
 
 // Run requests the list until ctx ends whenever Update has not received one for
-// maxListAge.
+// maxListAge, or for firstListWait after the start.
 func (t *Table) Run(ctx context.Context) {
 	t.initialize()
+	startedAt := t.Clock.Now()
 	for ctx.Err() == nil {
-		if t.age() > maxListAge {
+		wait := t.untilRefresh(startedAt)
+		if wait <= 0 {
 			t.Refresh(ctx)
+			wait = listRetryInterval
 		}
 		select {
 		case <-ctx.Done():
-		case <-t.Clock.After(listCheckInterval):
+		case <-t.Clock.After(wait):
 		}
 	}
 }
 
-// age returns how long ago the list was requested from the platform.
-func (t *Table) age() time.Duration {
+// untilRefresh returns when to request the list if Update receives none until then.
+func (t *Table) untilRefresh(startedAt time.Time) time.Duration {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.Clock.Since(t.listRequestedAt)
+	if t.listRequestedAt.IsZero() {
+		return firstListWait - t.Clock.Since(startedAt)
+	}
+	return maxListAge - t.Clock.Since(t.listRequestedAt)
 }
 
 // Refresh requests the list from the platform once. A failure keeps the current
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -105,13 +105,14 @@
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	sent := h.Clock.Now()
-	r, err := h.client.Register(call, &control.Register{Host: h.hostRecord(), Leads: h.ledGroups()})
+	r, err := h.client.Register(call, &control.Register{Host: h.hostRecord(), Leads: h.ledGroups(), Targets: h.targetsDigest()})
 	if err != nil {
 		return
 	}
 	h.roster.mu.Lock()
 	h.roster.reply, h.roster.replyAt = r, sent
 	h.roster.mu.Unlock()
+	h.applyTargets(r.Targets, sent)
 	controls := addresses(r.Hosts, fleet.ControlHost)
 	h.client.SetHosts(controls)
 	if h.ControlHostsUpdated != nil {
@@ -260,7 +261,11 @@
 		h.Logger.WithFields(log.Fields{"host": inactive.Name, "address": inactive.Address().String()}).Info("host removed from the roster")
 		h.commitFleet(ctx, &fleet.Command{Drop: inactive.Member.ID})
 	}
-	return &control.RegisterReply{Hosts: h.hostStates(now), First: h.fleet.First()}, nil
+	r := &control.RegisterReply{Hosts: h.hostStates(now), First: h.fleet.First()}
+	if in.Host.Kind == fleet.ControlHost {
+		r.Targets = configuration.TargetListReply(h, h.Clock.Now(), in.Targets)
+	}
+	return r, nil
 }
 
 // recordHost records that a host is alive, and returns the initial store hosts if
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -10,14 +10,19 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
 
 const (
-	// targetsPollInterval is how often a control host reads the platform's list of
-	// targets, which it serves to all daemons that poll it.
-	targetsPollInterval = 900 * time.Millisecond
+	// targetsReadInterval is how often the leader of the fleet group reads the platform's
+	// list of targets. The other control hosts get it with their registrations, and all
+	// serve it to the daemons that poll them.
+	targetsReadInterval = 600 * time.Millisecond
+	// maxTargetsAge is the age of the list from which on another control host reads it
+	// itself, because no leader has sent a newer one.
+	maxTargetsAge = 1600 * time.Millisecond
 	// targetsListTimeout bounds one request for the list.
 	targetsListTimeout = 1500 * time.Millisecond
 )
@@ -28,32 +33,83 @@
 	at   time.Time
 }
 
-// pollTargets reads the list periodically until ctx ends. It logs failures 1, 2, 4,
-// 8 and so on, to bound the log.
+// pollTargets reads the list periodically until ctx ends, if this host is to read it. It
+// logs failures 1, 2, 4, 8 and so on, to bound the log.
 func (h *Host) pollTargets(ctx context.Context) {
 	failures := new(expvar.Int)
 	h.Metrics.Set("ListFailures", failures)
+	reads := new(expvar.Int)
+	h.Metrics.Set("ListReads", reads)
+	startedAt := h.Clock.Now()
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, targetsListTimeout)
-		at := h.Clock.Now()
-		list, _, err := h.Directory.List(call)
-		cancel()
-		if err != nil {
-			failures.Add(1)
-			if n := failures.Value(); n&(n-1) == 0 {
-				h.Logger.WithError(err).WithField("failures", n).Warn("reading the platform's list of targets failed")
-			}
-		} else {
-			h.setTargets(list, at)
+		if h.readsTargets(startedAt) {
+			reads.Add(1)
+			h.readTargets(ctx, failures)
 		}
 		select {
 		case <-ctx.Done():
-		case <-h.Clock.After(targetsPollInterval):
+		case <-h.Clock.After(targetsReadInterval):
 		}
 	}
 }
 
-// setTargets stores the list, and wakes polling daemons if it has changed.
+// readsTargets reports whether this host is to read the list now: as the leader of the
+// fleet group, or because it got no list for maxTargetsAge.
+func (h *Host) readsTargets(startedAt time.Time) bool {
+	if s := h.groups[control.FleetGroup].Status(); s.Phase == raft.Leader || h.client == nil {
+		return true
+	}
+	since := startedAt
+	if x := h.targets.Load(); x != nil && x.at.After(since) {
+		since = x.at
+	}
+	return h.Clock.Since(since) >= maxTargetsAge
+}
+
+// readTargets requests the list from the platform once.
+func (h *Host) readTargets(ctx context.Context, failures *expvar.Int) {
+	ctx, cancel := context.WithTimeout(ctx, targetsListTimeout)
+	defer cancel()
+	at := h.Clock.Now()
+	list, _, err := h.Directory.List(ctx)
+	if err == nil {
+		h.setTargets(list, at)
+		return
+	}
+	failures.Add(1)
+	if n := failures.Value(); n&(n-1) == 0 {
+		h.Logger.WithError(err).WithField("failures", n).Warn("reading the platform's list of targets failed")
+	}
+}
+
+// targetsDigest returns the digest of the list of targets, 0 without one.
+func (h *Host) targetsDigest() uint64 {
+	if x := h.targets.Load(); x != nil {
+		return x.list.Digest
+	}
+	return 0
+}
+
+// applyTargets takes over the list of the leader of the fleet group from the reply to a
+// registration that was sent at the given time, if it is newer than that of this host.
+func (h *Host) applyTargets(list *control.TargetList, sent time.Time) {
+	if h.Store || list == nil {
+		return
+	}
+	x := &timedTargetList{list: *list, at: sent.Add(-list.Age)}
+	old := h.targets.Load()
+	if old != nil && !x.at.After(old.at) {
+		return
+	}
+	if old != nil && old.list.Digest == list.Digest {
+		x.list = old.list
+	} else if len(list.Instances) == 0 {
+		return // the list that the leader left out was replaced meanwhile
+	}
+	h.replaceTargets(x)
+}
+
+// setTargets stores a list that was read from the platform.
 func (h *Host) setTargets(list []rhubarbgate.Instance, at time.Time) {
 	slices.SortFunc(list, func(a, b rhubarbgate.Instance) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), a.Address.Compare(b.Address))
@@ -63,7 +119,11 @@
 		// Unreachable: the type has only strings, numbers and addresses.
 		panic(err)
 	}
-	x := &timedTargetList{list: control.TargetList{Digest: max(xxhash.Sum64(b), 1), Instances: list}, at: at}
+	h.replaceTargets(&timedTargetList{list: control.TargetList{Digest: max(xxhash.Sum64(b), 1), Instances: list}, at: at})
+}
+
+// replaceTargets stores the list, and wakes polling daemons if it has changed.
+func (h *Host) replaceTargets(x *timedTargetList) {
 	if old := h.targets.Swap(x); old == nil || old.list.Digest != x.list.Digest {
 		h.notifier.Notify()
 	}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -77,8 +77,10 @@
 	Sum     uint64
 	Bundles []rhubarbgate.Bundle `msgpack:",omitempty"`
 	Section *rhubarbgate.Section `msgpack:",omitempty"`
-	// Age is how long ago Version was confirmed as the newest.
+	// Age is how long ago Version was confirmed as the newest, at the time of the reply.
 	Age time.Duration
+	// Held is how long the reply was delayed because nothing changed.
+	Held time.Duration `msgpack:",omitempty"`
 	// Groups is the number of job groups.
 	Groups int
 	// Backlog lists the models and routes that pending batch items need. A side without
@@ -113,6 +115,8 @@
 	Host fleet.HostRecord
 	// Leads are the memberships of the job groups that the host leads.
 	Leads []GroupMembers
+	// Targets is the digest of the list of targets that a control host holds.
+	Targets uint64 `msgpack:",omitempty"`
 }
 
 // GroupMembers is the membership of a job group, as reported by its leader in Term.
@@ -128,6 +132,8 @@
 	Hosts []HostState
 	// First is the initial membership of the job groups, nil until it is known.
 	First *fleet.InitialStoreHosts
+	// Targets is the leader's list of targets, for control hosts.
+	Targets *TargetList `msgpack:",omitempty"`
 }
 
 // HostState is a host and the time since the leader last received its Register, or since
