platform list: a new leader reads it at once, and often at first

Cause: the single reader slept up to 0.6 s before it noticed that it leads, and after a loss of all power the list changes as the targets come back. Change: a control host checks every 50 ms whether to read; a new leader reads at once and every 0.25 s for 3 s. Hosts whose registration gets no reply try again after 0.1 s instead of 0.4 s. Result: TestOneHostReadsTargets.

--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -23,6 +23,8 @@
 	// registerInterval is how often a host registers with the fleet group's leader;
 	// registrations are its heartbeats.
 	registerInterval = 400 * time.Millisecond
+	// registerRetryInterval is the interval while no leader replies.
+	registerRetryInterval = 100 * time.Millisecond
 	// registerTimeout bounds one registration, so that a host soon looks for a new
 	// leader when the old one is lost.
 	registerTimeout = time.Second
@@ -87,27 +89,27 @@
 // register registers this host with the fleet group's leader periodically until ctx
 // ends.
 func (h *Host) register(ctx context.Context) {
-	t := h.Clock.NewTicker(registerInterval)
-	defer t.Stop()
-	for {
-		h.registerOnce(ctx)
+	for ctx.Err() == nil {
+		interval := registerInterval
+		if !h.registerOnce(ctx) {
+			interval = registerRetryInterval
+		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-t.Chan():
+		case <-h.Clock.After(interval):
 		}
 	}
 }
 
-// registerOnce registers this host and applies the reply. Errors are ignored: the
-// next registration follows soon.
-func (h *Host) registerOnce(ctx context.Context) {
+// registerOnce registers this host, applies the reply and reports whether there was one.
+// Errors are ignored: the next registration follows soon.
+func (h *Host) registerOnce(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	sent := h.Clock.Now()
 	r, err := h.client.Register(call, &control.Register{Host: h.hostRecord(), Leads: h.ledGroups(), Targets: h.targetsDigest()})
 	if err != nil {
-		return
+		return false
 	}
 	h.roster.mu.Lock()
 	h.roster.reply, h.roster.replyAt = r, sent
@@ -121,6 +123,7 @@
 	if h.Store && r.First != nil {
 		h.bootstrapJobGroups(r.First)
 	}
+	return true
 }
 
 // addresses returns the addresses of the hosts of kind k.
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -20,6 +20,12 @@
 	// list of targets. The other control hosts get it with their registrations, and all
 	// serve it to the daemons that poll them.
 	targetsReadInterval = 600 * time.Millisecond
+	// newLeaderReadInterval is the interval in the first newLeaderPeriod of a leader. If
+	// all hosts restarted, so did the targets, and the list changes as it catches up.
+	newLeaderReadInterval = 250 * time.Millisecond
+	newLeaderPeriod       = 3 * time.Second
+	// targetsCheckInterval is how often a control host checks whether to read the list.
+	targetsCheckInterval = 50 * time.Millisecond
 	// maxTargetsAge is the age of the list from which on another control host reads it
 	// itself, because no leader has sent a newer one.
 	maxTargetsAge = 1600 * time.Millisecond
@@ -40,30 +46,55 @@
 	h.Metrics.Set("ListFailures", failures)
 	reads := new(expvar.Int)
 	h.Metrics.Set("ListReads", reads)
-	startedAt := h.Clock.Now()
+	r := targetsReader{startedAt: h.Clock.Now()}
 	for ctx.Err() == nil {
-		if h.readsTargets(startedAt) {
+		s := h.groups[control.FleetGroup].Status()
+		listAt := time.Time{}
+		if x := h.targets.Load(); x != nil {
+			listAt = x.at
+		}
+		if r.due(h.Clock.Now(), s.Phase == raft.Leader || h.client == nil, listAt) {
 			reads.Add(1)
 			h.readTargets(ctx, failures)
 		}
 		select {
 		case <-ctx.Done():
-		case <-h.Clock.After(targetsReadInterval):
+		case <-h.Clock.After(targetsCheckInterval):
 		}
 	}
 }
 
-// readsTargets reports whether this host is to read the list now: as the leader of the
-// fleet group, or because it got no list for maxTargetsAge.
-func (h *Host) readsTargets(startedAt time.Time) bool {
-	if s := h.groups[control.FleetGroup].Status(); s.Phase == raft.Leader || h.client == nil {
-		return true
+// targetsReader decides when a control host reads the list of targets.
+type targetsReader struct {
+	startedAt time.Time
+	leadsAt   time.Time // when this host became the leader; zero while it is not
+	readAt    time.Time // when the list was last read
+}
+
+// due reports whether to read the list now: as the leader of the fleet group, or because
+// the newest list is of listAt, which is too long ago, and no leader sent another.
+func (r *targetsReader) due(now time.Time, leads bool, listAt time.Time) bool {
+	interval := targetsReadInterval
+	switch {
+	case !leads:
+		r.leadsAt = time.Time{}
+		if listAt.Before(r.startedAt) {
+			listAt = r.startedAt
+		}
+		if now.Sub(listAt) < maxTargetsAge {
+			return false
+		}
+	case r.leadsAt.IsZero():
+		r.leadsAt = now
+		interval = 0
+	case now.Sub(r.leadsAt) < newLeaderPeriod:
+		interval = newLeaderReadInterval
 	}
-	since := startedAt
-	if x := h.targets.Load(); x != nil && x.at.After(since) {
-		since = x.at
+	if now.Sub(r.readAt) < interval {
+		return false
 	}
-	return h.Clock.Since(since) >= maxTargetsAge
+	r.readAt = now
+	return true
 }
 
 // readTargets requests the list from the platform once.
--- a/internal/role/replica/targets_test.go
+++ b/internal/role/replica/targets_test.go
@@ -51,3 +51,48 @@
 	follower.applyTargets(&late, clock.Now())
 	check("b", time.Second)
 }
+
+// TestOneHostReadsTargets guards against control hosts that all read the platform's list,
+// against a new leader that reads it late or seldom while the targets restart, and against
+// hosts without a leader that have no list.
+func TestOneHostReadsTargets(t *testing.T) {
+	const tick, never = targetsCheckInterval, time.Hour
+	tests := []struct {
+		name    string
+		leadsAt time.Duration
+		// listEvery is how often the host gets the list of a leader.
+		listEvery            time.Duration
+		firstRead            time.Duration
+		readsIn2s, readsIn8s int
+	}{
+		{"follower of a leader", never, registerInterval, never, 0, 0},
+		{"leader from 0.5 s on", 500 * time.Millisecond, never, 500 * time.Millisecond, 6, 12 + 7},
+		{"no leader", never, never, maxTargetsAge, 1, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			r := targetsReader{startedAt: start}
+			var listAt time.Time
+			first, reads := never, map[time.Duration]int{}
+			for elapsed := time.Duration(0); elapsed < 8*time.Second; elapsed += tick {
+				if elapsed%test.listEvery == 0 && test.listEvery != never {
+					listAt = start.Add(elapsed)
+				}
+				if !r.due(start.Add(elapsed), elapsed >= test.leadsAt, listAt) {
+					continue
+				}
+				listAt = start.Add(elapsed)
+				first = min(first, elapsed)
+				for _, limit := range []time.Duration{2 * time.Second, 8 * time.Second} {
+					if elapsed < limit {
+						reads[limit]++
+					}
+				}
+			}
+			qt.Assert(t, first, qt.Equals, test.firstRead)
+			qt.Assert(t, reads[2*time.Second], qt.Equals, test.readsIn2s)
+			qt.Assert(t, reads[8*time.Second], qt.Equals, test.readsIn8s)
+		})
+	}
+}
