wire: a lost opening packet is sent again after 0.1 s

Cause: processes that start before their peers dial hosts that are still off. Change: while an attempt to connect has no result, another one starts every 0.1 s within the same bound, and the first connection is used. TestRedial fails before.

--- a/internal/rpc/wire/client.go
+++ b/internal/rpc/wire/client.go
@@ -7,17 +7,22 @@
 	"net/netip"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 )
 
 const (
 	// dialTimeout bounds the TCP connect and the TLS handshake together.
-	dialTimeout      = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	// redialInterval is the time without a result after which another attempt to
+	// connect starts: far above the round trip within a region.
+	redialInterval   = 100 * time.Millisecond
 	idleConnLifetime = 2 * time.Minute
 	idleConnsPerPeer = 64
 )
@@ -63,7 +68,7 @@
 	if d == nil {
 		d = &net.Dialer{}
 	}
-	n, err := d.DialContext(ctx, "tcp", a.String())
+	n, err := socket.Redial(ctx, clockwork.NewRealClock(), d, redialInterval, a.String())
 	if err != nil {
 		return nil, &dialError{err}
 	}
