recovery: restarted targets ahead of the list, and requests that await the first configuration

Cause: after a loss of all power entries know a configuration 0.2 s after the last control host started, but the platform's list shows the restarted targets 0.8 s late: every send got 421 and callers were refused, many at their last attempt. Callers that came before there was a configuration were refused at once with a Retry-After of 0.8 s or more, and most return only once. Change: a 421 names the instance that has the address now. If the side of the fleet on the target's host says that it runs beside that address, the entry uses the instance at once; without a side, an address may belong to another service, and the list decides. Sides do the same for their own target. Sides listen on the fleet port. An entry that started less than 2 s ago holds requests for its first configuration, up to 0.6 s or a fourth of the caller's deadline. TestRestartedTargetIsUsedAheadOfTheList and TestRequestsAwaitTheFirstConfiguration, 20 callers at once, fail before.

--- a/dialect.go
+++ b/dialect.go
@@ -52,6 +52,8 @@
 type TargetResponse struct {
 	// RequestID is the ID of the request that the response belongs to.
 	RequestID string
+	// Instance is the ID of the responding instance, if the response names it.
+	Instance string
 	// NotRun is the target's promise that it did not and will not run the request.
 	NotRun bool
 	// Leaving is the target's announcement that it is about to stop.
--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -42,7 +42,7 @@
 func (d *directFlags) add(f *pflag.FlagSet) {
 	f.StringVar(&d.targetList, "target-list", "", "IP:PORT of the platform's list of targets; empty means that the configuration lists the targets")
 	f.StringVar(&d.readiness, "readiness", "", "with --target-list: IP:PORT to listen on for the balancer's readiness checks; required for an entry, not used by a side")
-	f.Uint16Var(&d.fleetPort, "fleet-port", 0, "with --target-list: port of the control and store hosts for the fleet's processes, in place of the ports in --control and --parents; 0 keeps those")
+	f.Uint16Var(&d.fleetPort, "fleet-port", 0, "with --target-list: port of the fleet's processes on control and store hosts, in place of the ports in --control and --parents, and of sides on the hosts of their targets; 0 keeps the ports, and sides do not listen")
 }
 
 // replacePorts returns the addresses with their ports replaced by port; 0 keeps
@@ -77,6 +77,7 @@
 		AvailabilityZone: e.availabilityZone, Control: replacePorts(a.control, e.direct.fleetPort), Dialect: platform.Dialect{},
 		Directory: e.direct.directory(&v), Wire: wire.NewClient(nil), Clock: clockwork.NewRealClock(), Random: newRandom(0),
 		Logger: newLogger(os.Stdout, "entry"), Metrics: newMetrics("Entry"), MaxAge: e.maxAge, BalancerLag: e.lag, Grace: e.grace,
+		SidePort: e.direct.fleetPort,
 	}
 	if err := v.err(); err != nil {
 		return err
@@ -100,7 +101,7 @@
 
 // runForListedTarget runs a side for a target on the platform's list. Entries
 // send online requests directly to such a target; the side runs its batch items
-// and has no listener.
+// and listens only if it has a fleet port, for entries that ask which target it has.
 func (s *sideFlags) runForListedTarget(ctx context.Context) error {
 	var v validator
 	a := s.check(&v)
@@ -127,6 +128,12 @@
 	if err := serveDebug(s.debug); err != nil {
 		return err
 	}
+	if s.direct.fleetPort != 0 {
+		var err error
+		if h.Listener, err = socket.Listen(netip.AddrPortFrom(t.Addr(), s.direct.fleetPort).String()); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	h.Logger.WithField("target", t.String()).Info("serving")
 	return errors.Trace(h.Run(ctx))
 }
--- a/internal/command/rhubarbgate/roles.go
+++ b/internal/command/rhubarbgate/roles.go
@@ -46,7 +46,7 @@
 // default of the flag that sets how long requests still arrive after the process
 // reports that it is leaving.
 func (d *daemonFlags) add(f *pflag.FlagSet, listen, lagFlag, lagHelp string, lag time.Duration) {
-	f.StringVar(&d.listen, "listen", listen, "IP:PORT to listen on; a side with --target-list does not listen")
+	f.StringVar(&d.listen, "listen", listen, "IP:PORT to listen on; not used by a side with --target-list, see --fleet-port")
 	f.StringVar(&d.control, "control", "", "control hosts, as IP:PORT,…; required")
 	f.StringVar(&d.parents, "parents", "", "hosts to poll the configuration from, as IP:PORT,…; empty means the control hosts; an entry with --target-list always polls the control hosts")
 	f.StringVar(&d.availabilityZone, "availability-zone", "", "this host's availability zone, as ZONE or REGION/ZONE; required")
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -14,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/singleflight"
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targets"
@@ -57,16 +58,22 @@
 	AvailabilityZone string
 	// Dialer opens connections to targets; nil means one with a timeout of 250 ms.
 	Dialer *net.Dialer
+	// Confirm, if set, reports whether a side of the fleet runs beside the target at an
+	// address; see Adopt.
+	Confirm func(ctx context.Context, address netip.AddrPort) bool
 	// Failures counts failed requests for the list, Unreadable the list's entries
 	// that were skipped, Opened new connections to targets, and Ejections targets
 	// that were ejected.
 	Failures, Unreadable, Opened, Ejections *expvar.Int
 
 	ejector         health.Ejector
+	confirming      singleflight.Group // calls of Confirm, by address
 	once            sync.Once
 	mu              sync.RWMutex
 	targets         map[targetKey]*Target
 	listRequestedAt time.Time // zero while there is no list
+	adoptions       map[netip.AddrPort]adoption
+	adoptionPauses  map[netip.AddrPort]time.Time // when Adopt may ask again
 }
 
 // targetKey identifies a target. The identifier alone does not, because an instance
@@ -101,6 +108,7 @@
 func (t *Table) initialize() {
 	t.once.Do(func() {
 		t.targets = map[targetKey]*Target{}
+		t.adoptions, t.adoptionPauses = map[netip.AddrPort]adoption{}, map[netip.AddrPort]time.Time{}
 		t.ejector.Clock = t.Clock
 	})
 }
@@ -170,6 +178,7 @@
 		return
 	}
 	t.listRequestedAt = requestedAt
+	list = t.withAdoptions(list)
 	present := map[targetKey]bool{}
 	for _, x := range list {
 		k := targetKey{x.ID, x.Address}
@@ -237,6 +246,13 @@
 	return added
 }
 
+// Target returns the listed target of an instance, or nil.
+func (t *Table) Target(i rhubarbgate.Instance) *Target {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.targets[targetKey{i.ID, i.Address}]
+}
+
 // Find returns the instance at an address, if it is listed.
 func (t *Table) Find(address netip.AddrPort) (rhubarbgate.Instance, bool) {
 	t.mu.RLock()
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -13,6 +13,13 @@
 	// defaultTimeout bounds a request whose route sets no timeout, whatever its caller
 	// sets. A batch job has it if its caller sets none.
 	defaultTimeout = 30 * time.Second
+	// maxStartWait bounds the wait of a request for the first configuration, which the
+	// fleet has that long after all hosts started. startWaitDivisor limits the wait to a
+	// fourth of the time for which the caller waits.
+	maxStartWait     = 600 * time.Millisecond
+	startWaitDivisor = 4
+	// startPeriod is the time after the start of an entry in which requests wait.
+	startPeriod = 2 * time.Second
 	// controlRetryAfter is the shortest Retry-After while this entry cannot confirm its
 	// configuration or reach the owner of a rate. It covers an election, a poll and an
 	// exchange with the owner.
@@ -38,6 +45,9 @@
 
 // Handle implements Filter.
 func (f *routeFilter) Handle(x *Exchange, next Handler) error {
+	if x.Config.Version == 0 {
+		f.server.awaitConfiguration(x)
+	}
 	if x.Config.Version == 0 {
 		return notRun(rhubarbgate.CodeStale, "no configuration is known yet").WithRetryAfter(f.server.retryAfterControl())
 	}
@@ -66,6 +76,33 @@
 	return next(x)
 }
 
+// awaitConfiguration waits briefly for the first configuration of an entry that has just
+// started: it takes an election and a poll, while a refused caller may not return at all.
+func (s *Server) awaitConfiguration(x *Exchange) {
+	if s.Clock.Since(s.startedAt) >= startPeriod {
+		return
+	}
+	wait := maxStartWait
+	if x.Call.Timeout > 0 {
+		wait = min(wait, x.Call.Timeout/startWaitDivisor)
+	}
+	timeout := s.Clock.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		changed := s.Source.Changed()
+		if x.Config = s.Source.Current(); x.Config.Version > 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.Chan():
+			return
+		case <-x.Context.Done():
+			return
+		}
+	}
+}
+
 // handleJobCall handles a call that reads or cancels a batch job. Only hosts that have a
 // route for batch jobs take such calls.
 func (f *routeFilter) handleJobCall(x *Exchange, host string, next Handler) error {
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -50,6 +50,9 @@
 	// unreached holds the tried targets to which one connection failed. They are tried
 	// once more if no other target is left.
 	unreached []*discovery.Target
+	// restarted is the new instance of the target that refused the last attempt, if that
+	// is known; the next attempt goes to it.
+	restarted *discovery.Target
 	// possibleRuns counts the attempts that may have run the request.
 	possibleRuns int
 	// verdict is the worst verdict of all attempts.
@@ -169,7 +172,10 @@
 	if len(list) == 0 {
 		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target left, %d tried", q.service, len(q.tried)).WithRetryAfter(noTargetRetryAfter)
 	}
-	t := list[s.Picker.Pick(rhubarbgate.PickRequest{Workspace: x.Workspace}, candidates)]
+	t := q.restarted
+	if q.restarted = nil; t == nil || !slices.Contains(list, t) {
+		t = list[s.Picker.Pick(rhubarbgate.PickRequest{Workspace: x.Workspace}, candidates)]
+	}
 	if retryUnreached {
 		q.unreached = without(q.unreached, t)
 	} else {
@@ -227,6 +233,9 @@
 		// The short body of a refusal is read, so that the connection can be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.response, maxRefusalBytes))
 		a.finish(false)
+		if a.restarted = s.Targets.Adopt(a.x.Context, a.target, a.head.Instance); a.restarted != nil {
+			return notRun(rhubarbgate.CodeUnavailable, "target %s restarted as %s", a.target.Instance.ID, a.head.Instance)
+		}
 		return notRun(rhubarbgate.CodeUnavailable, "target %s refused with status %d", a.target.Instance.ID, status)
 	case a.head.RequestID != a.x.Call.RequestID:
 		s.Counts.MismatchedResponses.Add(1)
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -9,9 +9,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -507,3 +509,88 @@
 	qt.Assert(t, status, qt.Equals, 200)
 	qt.Assert(t, e.server.InFlight(), qt.Equals, 0)
 }
+
+// TestRestartedTargetIsUsedAheadOfTheList guards against refusing requests while all targets
+// have restarted and the list, which lags, still shows the earlier instances. A new instance
+// at an address without a side of the fleet gets no requests: it may be of another service.
+func TestRestartedTargetIsUsedAheadOfTheList(t *testing.T) {
+	for _, beside := range []bool{true, false} {
+		t.Run(fmt.Sprintf("side confirms: %v", beside), func(t *testing.T) {
+			targets := []*platformtest.Target{{}, {}}
+			e := newEntry(t, targets...)
+			var asked atomic.Int64
+			e.server.Targets.Confirm = func(context.Context, netip.AddrPort) bool {
+				asked.Add(1)
+				return beside
+			}
+			for i, x := range targets {
+				x.Instance = fmt.Sprintf("i-new-%d", i)
+			}
+			for i := range 10 {
+				status, _, err := e.send(context.Background(), "unsafe", fmt.Sprint(i), secret)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, status == 200, qt.Equals, beside, qt.Commentf("status %d", status))
+			}
+			qt.Assert(t, asked.Load() <= int64(len(targets)), qt.IsTrue, qt.Commentf("asked %d times", asked.Load()))
+			// The list still shows the earlier instances, then the new ones.
+			old := []rhubarbgate.Instance{}
+			for i, x := range targets {
+				old = append(old, rhubarbgate.Instance{ID: fmt.Sprintf("i-%d", i), Service: "lm", Address: x.Address(), Slots: 8})
+			}
+			e.server.Targets.Update(old, time.Now())
+			if beside {
+				status, _, _ := e.send(context.Background(), "unsafe", "stale list", secret)
+				qt.Assert(t, status, qt.Equals, 200)
+			}
+			e.server.Targets.Refresh(context.Background())
+			status, _, _ := e.send(context.Background(), "unsafe", "new list", secret)
+			qt.Assert(t, status, qt.Equals, 200)
+		})
+	}
+}
+
+// TestRequestsAwaitTheFirstConfiguration is the load after a loss of all power: callers
+// return before the fleet has a leader. It guards against refusing them although they could
+// be served a moment later, and against holding them when no configuration comes.
+func TestRequestsAwaitTheFirstConfiguration(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		configured bool
+		age        time.Duration // of the entry
+		status     int
+	}{
+		{"a configuration comes", true, 0, 200},
+		{"none comes", false, 0, 503},
+		{"the entry is not new", false, startPeriod, 503},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEntry(t, &platformtest.Target{})
+			e.server.Source = &configuration.Watcher{Clock: e.server.Clock, Logger: e.server.Logger}
+			e.source = e.server.Source.(*configuration.Watcher)
+			e.server.startedAt = time.Now().Add(-test.age)
+			var statuses sync.Map
+			var callers sync.WaitGroup
+			startedAt := time.Now()
+			for i := range 20 {
+				callers.Go(func() {
+					status, _, _ := e.send(context.Background(), "unsafe", fmt.Sprint(i), secret)
+					statuses.Store(i, status)
+				})
+			}
+			for test.age == 0 && e.server.InFlight() < 20 {
+				time.Sleep(time.Millisecond)
+			}
+			if test.configured {
+				e.configure(1)
+			}
+			callers.Wait()
+			if !test.configured {
+				qt.Assert(t, time.Since(startedAt) < 3*time.Second, qt.IsTrue, qt.Commentf("held for %v", time.Since(startedAt)))
+			}
+			statuses.Range(func(k, v any) bool {
+				qt.Check(t, v, qt.Equals, test.status, qt.Commentf("caller %v", k))
+				return true
+			})
+		})
+	}
+}
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -61,6 +61,7 @@
 	handle    Handler
 	inFlight  atomic.Int64
 	draining  atomic.Bool
+	startedAt time.Time // when Prepare was called
 	randomMu  sync.Mutex
 }
 
@@ -88,6 +89,7 @@
 
 // Prepare builds the filter chain and the HTTP servers. Call it once, before Serve.
 func (s *Server) Prepare() {
+	s.startedAt = s.Clock.Now()
 	s.handle = chain(s.serve, &routeFilter{server: s}, &keyFilter{server: s}, &rateFilter{server: s})
 	s.http = &fasthttp.Server{
 		Handler: s.serveHTTP, Name: "rhubarbgate", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
@@ -23,6 +24,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
 	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
 
@@ -43,6 +45,9 @@
 	Random    *rand.Rand
 	Logger    log.Interface
 	Metrics   *expvar.Map
+	// SidePort is the port at which the side of a target listens, on the target's host; 0
+	// means that sides are not asked for their targets.
+	SidePort uint16
 	// MaxAge is the age of the configuration past which the entry is not ready and
 	// refuses requests that need a caller's key.
 	MaxAge time.Duration
@@ -55,14 +60,29 @@
 	server *ingress.Server
 }
 
+// confirmTimeout bounds the question to a side whether it runs beside a target.
+const confirmTimeout = 100 * time.Millisecond
+
+// confirm reports whether the side on the target's host runs beside the target.
+func (d *Direct) confirm(ctx context.Context, target netip.AddrPort) bool {
+	ctx, cancel := deadline.WithTimeout(ctx, d.Clock, confirmTimeout)
+	defer cancel()
+	r, err := wire.Call[side.BesideReply](ctx, d.Wire, netip.AddrPortFrom(target.Addr(), d.SidePort), side.MethodBeside, &side.Beside{Target: target})
+	return err == nil && r.Yes
+}
+
 // table returns the table of targets. It gets the list from the control hosts, and
 // reads it from the platform while they do not send it.
 func (d *Direct) table() *discovery.Table {
-	return &discovery.Table{
+	t := &discovery.Table{
 		Directory: d.Directory, Clock: d.Clock, Logger: d.Logger, AvailabilityZone: d.AvailabilityZone,
 		Failures: newCounter(d.Metrics, "ListFailures"), Unreadable: newCounter(d.Metrics, "ListEntriesUnreadable"),
 		Opened: newCounter(d.Metrics, "TargetConnections"), Ejections: newCounter(d.Metrics, "TargetsEjected"),
 	}
+	if d.SidePort != 0 {
+		t.Confirm = d.confirm
+	}
+	return t
 }
 
 // Run serves until ctx ends or a listener fails. When ctx ends, it finishes the
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -8,6 +8,8 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
 
 const (
@@ -30,6 +32,12 @@
 	batch, stopBatch := context.WithCancel(work)
 	defer stopBatch()
 	var tasks conc.WaitGroup
+	if h.Listener != nil {
+		mux := wire.NewMux()
+		mux.OnPanic = wire.LogPanics(h.Logger)
+		wire.Unary(mux, side.MethodBeside, wire.Entries, h.handleBeside)
+		tasks.Go(func() { _ = mux.Serve(work, h.Listener) })
+	}
 	tasks.Go(func() { h.watcher.Run(work) })
 	tasks.Go(func() { h.Targets.Run(work) })
 	tasks.Go(func() { h.pollLoad(work) })
@@ -41,6 +49,11 @@
 	return errors.Trace(nil)
 }
 
+// handleBeside tells an entry whether the target at an address is that of this host.
+func (h *Host) handleBeside(_ context.Context, in *side.Beside) (*side.BesideReply, error) {
+	return &side.BesideReply{Yes: in.Target == h.Target}, nil
+}
+
 // pollLoad probes the target's load until ctx ends.
 func (h *Host) pollLoad(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -134,6 +134,8 @@
 		w.host.Targets.RecordLeavingAt(i.ID, i.Address)
 	}
 	switch {
+	case head.NotRun && w.host.Targets.Adopt(context.Background(), w.host.Targets.Target(i), head.Instance) != nil:
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target restarted as %s", head.Instance)
 	case head.NotRun:
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target refused with status %d", a.Status)
 	case head.RequestID != id:
--- a/internal/rpc/side/message.go
+++ b/internal/rpc/side/message.go
@@ -2,6 +2,7 @@
 package side
 
 import (
+	"net/netip"
 	"time"
 
 	"rhubarbgate.example/rhubarbgate"
@@ -13,8 +14,15 @@
 const (
 	MethodRun    = "/side/Run"
 	MethodReport = "/side/Report"
+	MethodBeside = "/side/Beside"
 )
 
+// Beside asks whether a side runs beside the target at an address.
+type Beside struct{ Target netip.AddrPort }
+
+// BesideReply answers a Beside.
+type BesideReply struct{ Yes bool }
+
 // Header is one HTTP header of a request or response.
 type Header = rhubarbgate.Header
 
