http/ingress: callers are cut for stalling, not for the length of a response

Cause: the HTTP server's write timeout of 2 min ran from the start of each response, so a sound stream that lasts longer was cut, while a caller that stopped reading held its target for 2 min. Change: every write to a caller has its own bound, 30 s. Result: TestSlowStreamIsNotCut (a stream three times as long as the bound) and TestStalledCallerIsCut pass; with the write timeout set to the bound of the test the first would end after a third of its events.

--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"fmt"
@@ -32,8 +33,8 @@
 	readTimeout = 20 * time.Second
 	// idleTimeout is how long a caller's connection may be unused.
 	idleTimeout = 60 * time.Second
-	// writeTimeout bounds how long a caller may take to read a response.
-	writeTimeout = 2 * time.Minute
+	// defaultStallTimeout is the default of Server.StallTimeout.
+	defaultStallTimeout = 30 * time.Second
 )
 
 // Server is the HTTP server for callers. Set the exported fields, call Prepare, then Serve.
@@ -55,6 +56,8 @@
 	// MaxAge is how long ago the configuration may have been confirmed. Past it, the entry
 	// is not ready and refuses requests that need a key.
 	MaxAge time.Duration
+	// StallTimeout is how long a caller may take no bytes of its response; 0 means 30 s.
+	StallTimeout time.Duration
 
 	http      *fasthttp.Server
 	readiness *fasthttp.Server
@@ -94,7 +97,7 @@
 	s.http = &fasthttp.Server{
 		Handler: s.serveHTTP, Name: "rhubarbgate", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		WriteTimeout: writeTimeout, DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: false,
+		DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: false,
 		CloseOnShutdown: true, Logger: discardLogger{}, ErrorHandler: s.handleReadError, ReduceMemoryUsage: true,
 	}
 	s.readiness = &fasthttp.Server{Handler: s.checkReadiness, NoDefaultServerHeader: true, Logger: discardLogger{}, ReduceMemoryUsage: true}
@@ -107,7 +110,9 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // Serve accepts callers' connections on l until Shutdown.
-func (s *Server) Serve(l net.Listener) error { return errors.Trace(s.http.Serve(l)) }
+func (s *Server) Serve(l net.Listener) error {
+	return errors.Trace(s.http.Serve(&stallListener{Listener: l, clock: s.Clock, timeout: cmp.Or(s.StallTimeout, defaultStallTimeout)}))
+}
 
 // ServeReadiness serves the load balancer's readiness checks on l until Shutdown.
 func (s *Server) ServeReadiness(l net.Listener) error { return errors.Trace(s.readiness.Serve(l)) }
