discovery: a side also says which service it knows at its target's address

Cause: that a side runs beside an address shows that the address is still that of its host's target, but not for a host that was replaced by one of another service at the same address. Change: the side adds the service that the list last showed there, and an entry does not use the instance if it is another one.

--- a/internal/controller/discovery/adopt.go
+++ b/internal/controller/discovery/adopt.go
@@ -38,7 +38,7 @@
 		return nil
 	}
 	confirmed, _, _ := t.confirming.Do(x.Instance.Address.String(), func() (any, error) {
-		return t.Confirm(ctx, x.Instance.Address), nil
+		return t.Confirm(ctx, x.Instance), nil
 	})
 	now := t.Clock.Now()
 	t.mu.Lock()
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -58,9 +58,9 @@
 	AvailabilityZone string
 	// Dialer opens connections to targets; nil means one with a timeout of 250 ms.
 	Dialer *net.Dialer
-	// Confirm, if set, reports whether a side of the fleet runs beside the target at an
-	// address; see Adopt.
-	Confirm func(ctx context.Context, address netip.AddrPort) bool
+	// Confirm, if set, reports whether a side of the fleet shows that the address of an
+	// instance still belongs to its service; see Adopt.
+	Confirm func(ctx context.Context, i rhubarbgate.Instance) bool
 	// Failures counts failed requests for the list, Unreadable the list's entries
 	// that were skipped, Opened new connections to targets, and Ejections targets
 	// that were ejected.
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -519,7 +518,7 @@
 			targets := []*platformtest.Target{{}, {}}
 			e := newEntry(t, targets...)
 			var asked atomic.Int64
-			e.server.Targets.Confirm = func(context.Context, netip.AddrPort) bool {
+			e.server.Targets.Confirm = func(context.Context, rhubarbgate.Instance) bool {
 				asked.Add(1)
 				return beside
 			}
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -63,12 +63,13 @@
 // confirmTimeout bounds the question to a side whether it runs beside a target.
 const confirmTimeout = 100 * time.Millisecond
 
-// confirm reports whether the side on the target's host runs beside the target.
-func (d *Direct) confirm(ctx context.Context, target netip.AddrPort) bool {
+// confirm reports whether the side on the instance's host runs beside its address, and knows
+// of no other service there.
+func (d *Direct) confirm(ctx context.Context, i rhubarbgate.Instance) bool {
 	ctx, cancel := deadline.WithTimeout(ctx, d.Clock, confirmTimeout)
 	defer cancel()
-	r, err := wire.Call[side.BesideReply](ctx, d.Wire, netip.AddrPortFrom(target.Addr(), d.SidePort), side.MethodBeside, &side.Beside{Target: target})
-	return err == nil && r.Yes
+	r, err := wire.Call[side.BesideReply](ctx, d.Wire, netip.AddrPortFrom(i.Address.Addr(), d.SidePort), side.MethodBeside, &side.Beside{Target: i.Address})
+	return err == nil && r.Yes && (r.Service == "" || r.Service == i.Service)
 }
 
 // table returns the table of targets. It gets the list from the control hosts, and
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -51,7 +51,8 @@
 
 // handleBeside tells an entry whether the target at an address is that of this host.
 func (h *Host) handleBeside(_ context.Context, in *side.Beside) (*side.BesideReply, error) {
-	return &side.BesideReply{Yes: in.Target == h.Target}, nil
+	i, _ := h.Targets.Find(h.Target)
+	return &side.BesideReply{Yes: in.Target == h.Target, Service: i.Service}, nil
 }
 
 // pollLoad probes the target's load until ctx ends.
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -182,7 +182,7 @@
 	if h.Probe != nil {
 		h.watcher.OnPeers = func(p control.Peers) { h.control.SetHosts(p.Stores) }
 		h.watcher.OnTargets = h.Targets.Update
-		h.Targets.Confirm = func(_ context.Context, a netip.AddrPort) bool { return a == h.Target }
+		h.Targets.Confirm = func(_ context.Context, i rhubarbgate.Instance) bool { return i.Address == h.Target }
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
 	h.keeper = &gatekeeper.Gatekeeper{Clock: h.Clock, Gate: h.gate(), OnPreempted: h.counts.recordPreemption}
--- a/internal/rpc/side/message.go
+++ b/internal/rpc/side/message.go
@@ -20,8 +20,12 @@
 // Beside asks whether a side runs beside the target at an address.
 type Beside struct{ Target netip.AddrPort }
 
-// BesideReply answers a Beside.
-type BesideReply struct{ Yes bool }
+// BesideReply answers a Beside. Service is that of the target as the side last saw it in the
+// platform's list, empty if it is not listed.
+type BesideReply struct {
+	Yes     bool
+	Service string
+}
 
 // Header is one HTTP header of a request or response.
 type Header = rhubarbgate.Header
