--- a/internal/controller/batch/dispatcher.go
+++ b/internal/controller/batch/dispatcher.go
@@ -36,8 +36,6 @@
 	mu             sync.Mutex
 	incarnations   map[string]string // by name of the side
 	deadlines      map[jobs.ItemRef]time.Time
-	starts         map[jobs.ItemRef]leaseStart // of the leases in deadlines that this leader granted
-	pace           pace
 	itemLimits     *limit.Static
 	completionRate float64 // items per second, moving average
 	completed      float64 // items since rateUpdatedAt
@@ -49,7 +47,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
-	d.deadlines, d.starts = map[jobs.ItemRef]time.Time{}, map[jobs.ItemRef]leaseStart{}
+	d.deadlines = map[jobs.ItemRef]time.Time{}
 	d.incarnations = map[string]string{}
 	d.itemLimits = &limit.Static{Clock: d.Clock, Rates: d.ItemRate, Entries: 1, Empty: true}
 	d.rateUpdatedAt = now
@@ -69,7 +67,6 @@
 	pending := d.Machine.PendingJobs(needed, d.Weight)
 	for i := range pending {
 		pending[i].ItemsPerSecond = d.completionRate
-		pending[i].NextItem = d.pace.timeLeft(pending[i].NextProgress)
 	}
 	now := d.Clock.Now()
 	var refs []jobs.ItemRef
@@ -116,7 +113,6 @@
 	})
 	for _, r := range refs {
 		delete(d.deadlines, r)
-		delete(d.starts, r)
 	}
 	return refs
 }
@@ -131,7 +127,6 @@
 	for _, g := range granted {
 		valid[g.Ref] = true
 		d.deadlines[g.Ref] = now.Add(LeaseTTL)
-		d.starts[g.Ref] = leaseStart{at: now, progress: len(g.Progress)}
 	}
 	var ungranted []jobs.ItemRef
 	for _, r := range picked {
@@ -163,7 +158,6 @@
 	defer d.mu.Unlock()
 	for _, r := range refs {
 		delete(d.deadlines, r)
-		delete(d.starts, r)
 	}
 	d.completed += float64(completed)
 	d.updateCompletionRate()
@@ -200,7 +194,6 @@
 		if !now.Before(deadline) {
 			expired = append(expired, ref)
 			delete(d.deadlines, ref)
-			delete(d.starts, ref)
 		}
 	}
 	return expired
--- a/internal/policy/order/order.go
+++ b/internal/policy/order/order.go
@@ -27,8 +27,8 @@
 // DefaultWeightedShare is the usual value of Deadline.WeightedShare.
 const DefaultWeightedShare = 0.2
 
-// Deadline takes the job with the earliest deadline. Jobs that are expected to miss their
-// deadline come after all others, and those that have missed it come last. A share of the leases goes
+// Deadline takes the job with the earliest deadline. Jobs that have missed or are
+// expected to miss their deadline come after all others. A share of the leases goes
 // instead to the workspace with the fewest leases relative to its weight, so that a
 // workspace whose deadlines are distant is not starved.
 type Deadline struct {
@@ -71,42 +71,24 @@
 	return best
 }
 
-// prospect says whether a job can still end by its due time. Jobs with a better prospect are
-// served first: under overload the items of all jobs would otherwise end shortly after
-// their due time.
-type prospect uint8
-
-const (
-	// inTime jobs can end by their due time.
-	inTime prospect = iota
-	// partlyLate jobs cannot end by their due time at the recent completion rate, but
-	// some of their items can.
-	partlyLate
-	// late jobs are past due, or have no pending item that can end by then.
-	late
-)
-
-// prospectOf returns the prospect of a job.
-func prospectOf(now time.Time, j rhubarbgate.PendingJob) prospect {
-	left := j.Due.Sub(now)
-	switch {
-	case left <= 0 || j.NextItem > left:
-		return late
-	case j.ItemsPerSecond > 0 && float64(j.Remaining)/j.ItemsPerSecond > left.Seconds():
-		return partlyLate
-	default:
-		return inTime
+// dueBefore reports whether job a is served before job b. Jobs are ordered by due time,
+// except that those for which missesDue is true come after all others.
+func dueBefore(now time.Time, a, b rhubarbgate.PendingJob) bool {
+	missesA, missesB := missesDue(now, a), missesDue(now, b)
+	if missesA != missesB {
+		return missesB
 	}
+	return a.Due.Before(b.Due)
 }
 
-// dueBefore reports whether job a is served before job b: the one with the better prospect,
-// or of two with the same the one that is due first.
-func dueBefore(now time.Time, a, b rhubarbgate.PendingJob) bool {
-	prospectA, prospectB := prospectOf(now, a), prospectOf(now, b)
-	if prospectA != prospectB {
-		return prospectA < prospectB
+// missesDue reports whether the job is past due or cannot end by its due time at the
+// recent completion rate.
+func missesDue(now time.Time, j rhubarbgate.PendingJob) bool {
+	left := j.Due.Sub(now)
+	if left <= 0 {
+		return true
 	}
-	return a.Due.Before(b.Due)
+	return j.ItemsPerSecond > 0 && float64(j.Remaining)/j.ItemsPerSecond > left.Seconds()
 }
 
 // leastServed returns the index of a job of the workspace with the fewest leases for
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -215,7 +215,6 @@
 	for i, o := range c.Complete.Outcomes {
 		refs[i] = o.Ref
 	}
-	l.dispatcher.RecordCompleted(c.Complete.Outcomes)
 	l.dispatcher.RemoveLeases(refs, len(refs))
 }
 
--- a/internal/state/jobs/query.go
+++ b/internal/state/jobs/query.go
@@ -166,23 +166,13 @@
 		}
 		r = append(r, rhubarbgate.PendingJob{
 			Job: j.ID, Workspace: j.Workspace, Weight: weight(j.Workspace),
-			Due: j.Due, Created: j.Created, Pending: count, Remaining: j.unfinished, NextProgress: j.nextProgress(needs),
+			Due: j.Due, Created: j.Created, Pending: count, Remaining: j.unfinished,
 		})
 	}
 	slices.SortFunc(r, func(a, b rhubarbgate.PendingJob) int { return cmp.Compare(a.Job, b.Job) })
 	return r
 }
 
-// nextProgress returns the length of the partial output of the item that Next returns.
-func (j *job) nextProgress(needs map[string]bool) int {
-	for need, name := range j.inputFile.needs {
-		if q := j.queues[uint16(need)]; needs[name] && len(q) > 0 {
-			return len(j.progress[q[0]])
-		}
-	}
-	return 0
-}
-
 // Next removes the next pending item that needs one of needs from the job's queues
 // and returns its next attempt. The caller proposes a lease of it; if that is not
 // granted, the caller must call Requeue.
--- a/order.go
+++ b/order.go
@@ -16,10 +16,6 @@
 	// ItemsPerSecond is the recent completion rate over all jobs, which is the rate
 	// the job would get if it were the only one; 0 means not known.
 	ItemsPerSecond float64
-	// NextProgress is the length of the partial output of the next item in bytes.
-	NextProgress int
-	// NextItem is how long the next item takes at least; 0 means not known.
-	NextItem time.Duration
 }
 
 // Order chooses the batch job from which the next items are leased.
