clock/boottime: suspended time counts as age

Cause: a suspended machine's steady clock stands still. After it wakes, leases of leaders, grants of rates and the age of the configuration seem as young as before, so for a moment a host could serve with a withdrawn key, spend tokens that the owner has granted again, or answer a read as a leader that was replaced. Change: the long-running commands use a clock whose Now adds the time for which the machine was suspended. After a suspension the wall time of such a host is ahead by its length, as after a step of the time of day.

--- a/internal/command/rhubarbgate/control.go
+++ b/internal/command/rhubarbgate/control.go
@@ -6,10 +6,10 @@
 	"net/netip"
 	"os"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/http/operator"
 	"rhubarbgate.example/rhubarbgate/internal/role/replica"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -54,7 +54,7 @@
 		v.require(groups >= 1 && groups <= 64, "job-groups", "%d is not between 1 and 64", groups)
 		h := &replica.Host{
 			ID: id, Data: data, Listen: v.address("listen", listenOn), Members: v.members("members", members), Join: join,
-			JobGroups: groups, MaxBatch: maxBatch, Operators: v.operators("operators", operators), Clock: clockwork.NewRealClock(),
+			JobGroups: groups, MaxBatch: maxBatch, Operators: v.operators("operators", operators), Clock: boottime.New(),
 			Random: newRandom(0), Logger: newLogger(os.Stderr, "control"), Metrics: newMetrics("Control"),
 		}
 		h.Traffic = wire.NewTraffic(h.Metrics)
--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -7,10 +7,10 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/spf13/pflag"
 
+	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
@@ -75,7 +75,7 @@
 	readiness := v.address("readiness", e.direct.readiness)
 	d := &entry.Direct{
 		AvailabilityZone: e.availabilityZone, Control: replacePorts(a.control, e.direct.fleetPort), Dialect: platform.Dialect{},
-		Directory: e.direct.directory(&v), Wire: wire.NewClient(nil), Clock: clockwork.NewRealClock(), Random: newRandom(0),
+		Directory: e.direct.directory(&v), Wire: wire.NewClient(nil), Clock: boottime.New(), Random: newRandom(0),
 		Logger: newLogger(os.Stdout, "entry"), Metrics: newMetrics("Entry"), MaxAge: e.maxAge, BalancerLag: e.lag, Grace: e.grace,
 		SidePort: e.direct.fleetPort,
 	}
@@ -109,7 +109,7 @@
 	h := &side.Host{
 		Name: s.name, Target: t, AvailabilityZone: s.availabilityZone, Slots: s.slots, Batch: true,
 		Control: replacePorts(a.control, s.direct.fleetPort), Parents: replacePorts(a.parents, s.direct.fleetPort),
-		Clock: clockwork.NewRealClock(), Random: newRandom(0), Logger: newLogger(os.Stdout, "side"), Metrics: newMetrics("Side"),
+		Clock: boottime.New(), Random: newRandom(0), Logger: newLogger(os.Stdout, "side"), Metrics: newMetrics("Side"),
 		MaxAge: s.maxAge, Grace: s.grace, Dialect: platform.Dialect{}, Dialer: socket.Dialer(fleetDialTimeout),
 		Probe: &platform.Engine{Client: &target.Client{Address: t, Dialer: socket.Dialer(fleetDialTimeout)}},
 	}
--- a/internal/command/rhubarbgate/entry.go
+++ b/internal/command/rhubarbgate/entry.go
@@ -6,10 +6,10 @@
 	"os"
 	"strings"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/role/entry"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
@@ -56,7 +56,7 @@
 	h := &entry.Host{
 		AvailabilityZone: e.availabilityZone, Control: a.control, Parents: a.parents, Picker: e.picker,
 		UnlimitedRetries: e.unlimitedRetries, Subset: e.subset,
-		Clock: clockwork.NewRealClock(), Random: newRandom(0), Logger: newLogger(os.Stderr, "entry"),
+		Clock: boottime.New(), Random: newRandom(0), Logger: newLogger(os.Stderr, "entry"),
 		Metrics: newMetrics("Entry"), MaxAge: e.maxAge, BalancerLag: e.lag, Grace: e.grace,
 	}
 	relay := e.configure(&v, h)
--- a/internal/command/rhubarbgate/side.go
+++ b/internal/command/rhubarbgate/side.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/role/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
@@ -63,7 +63,7 @@
 	h := &side.Host{
 		Name: s.name, Target: v.address("target", strings.TrimPrefix(s.target, "http://")), AvailabilityZone: s.availabilityZone,
 		Control: a.control, Parents: a.parents, Slots: s.slots, Batch: s.batch, FirstCome: s.firstCome, Models: splitList(s.models),
-		Clock: clockwork.NewRealClock(), Random: newRandom(0), Logger: newLogger(os.Stderr, "side"),
+		Clock: boottime.New(), Random: newRandom(0), Logger: newLogger(os.Stderr, "side"),
 		Metrics: newMetrics("Side"), MaxAge: s.maxAge, Grace: s.grace, EntryLag: s.lag,
 	}
 	h.TLS = s.tlsFiles.config(&v, a.listen)
--- a/internal/command/rhubarbgate/store.go
+++ b/internal/command/rhubarbgate/store.go
@@ -6,11 +6,11 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
+	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 	"rhubarbgate.example/rhubarbgate/internal/role/replica"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -75,7 +75,7 @@
 	h := &replica.Host{
 		Data: s.data, Listen: v.address("listen", s.listen), Seeds: replacePorts(v.addresses("seeds", s.seeds), s.fleetPort), Store: store,
 		Name: s.name, AvailabilityZone: s.availabilityZone, ToleratedLosses: s.toleratedLosses, Join: !s.bootstrap, JobGroups: 1, StoreGroups: s.storeGroups, Retention: s.retention,
-		Clock: clockwork.NewRealClock(), Random: newRandom(0), Logger: newLogger(os.Stdout, role), Metrics: newMetrics("Replica"),
+		Clock: boottime.New(), Random: newRandom(0), Logger: newLogger(os.Stdout, role), Metrics: newMetrics("Replica"),
 		Dialer: socket.Dialer(fleetDialTimeout),
 	}
 	if store {
