pick: an open connection decides between targets that are equal otherwise

Change: a candidate says whether an open connection can carry the request; opening one costs less than a step of distance or a request in flight. TestOpenConnectionsDecideBetweenEqualTargets.

--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -270,7 +270,7 @@
 // Candidates returns the targets of a service that may run a request, and for each
 // what the choice between them needs. It leaves out leaving targets, those in tried,
 // and ejected ones unless too many are ejected.
-func (t *Table) Candidates(service string, tried []*Target) ([]*Target, []rhubarbgate.Candidate) {
+func (t *Table) Candidates(service string, idempotent bool, tried []*Target) ([]*Target, []rhubarbgate.Candidate) {
 	now := t.Clock.Now()
 	var list []*Target
 	t.mu.RLock()
@@ -291,18 +291,19 @@
 	for i, x := range list {
 		if usable[i] {
 			usableTargets = append(usableTargets, x)
-			candidates = append(candidates, t.candidate(x, now))
+			candidates = append(candidates, t.candidate(x, now, idempotent))
 		}
 	}
 	return usableTargets, candidates
 }
 
 // candidate describes a target to the policy that chooses one.
-func (t *Table) candidate(x *Target, now time.Time) rhubarbgate.Candidate {
+func (t *Table) candidate(x *Target, now time.Time, idempotent bool) rhubarbgate.Candidate {
 	c := rhubarbgate.Candidate{
 		Name: x.name, Address: x.Instance.Address, AvailabilityZone: x.Instance.AvailabilityZone,
 		Distance: targets.Distance(t.AvailabilityZone, x.Instance.AvailabilityZone),
 		Slots:    x.Instance.Slots, InFlight: int(x.inFlight.Load()),
+		Connected: x.Client.HasIdle(idempotent),
 	}
 	if r := x.load.Load(); r != nil && now.Sub(r.at) < loadReportTTL {
 		c.Reported, c.Queued = r.Running, r.Waiting
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -164,10 +164,10 @@
 	if remaining <= 0 {
 		return nil, notRun(rhubarbgate.CodeOverloaded, "the deadline passed before a target was found")
 	}
-	list, candidates := s.Targets.Candidates(q.service, q.tried)
+	list, candidates := s.Targets.Candidates(q.service, x.idempotent(), q.tried)
 	retryUnreached := len(list) == 0 && len(q.unreached) > 0
 	if retryUnreached {
-		list, candidates = s.Targets.Candidates(q.service, without(q.tried, q.unreached...))
+		list, candidates = s.Targets.Candidates(q.service, x.idempotent(), without(q.tried, q.unreached...))
 	}
 	if len(list) == 0 {
 		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target left, %d tried", q.service, len(q.tried)).WithRetryAfter(noTargetRetryAfter)
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -187,6 +187,16 @@
 	return c.MaxIdle == 0 || idle <= c.MaxIdle
 }
 
+// HasIdle reports whether an idle connection seems able to carry a request.
+func (c *Client) HasIdle(idempotent bool) bool {
+	if !idempotent && c.NonIdempotentMaxIdle == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle) > 0 && c.canCarry(c.idle[len(c.idle)-1], idempotent)
+}
+
 // popIdle removes and returns the most recently used idle connection, or returns nil.
 func (c *Client) popIdle() *conn {
 	c.mu.Lock()
--- a/internal/policy/pick/least.go
+++ b/internal/policy/pick/least.go
@@ -20,6 +20,9 @@
 	// distanceCost is the cost of one step of distance. It is small, so that distance
 	// decides only between targets of nearly equal load.
 	distanceCost = 0.05
+	// connectCost is the cost of opening a connection. It decides only between targets
+	// that are equal otherwise: a new connection delays the request, and may hold a slot.
+	connectCost = 0.04
 )
 
 // LeastRequests picks the candidate with the fewest requests of this entry in flight
@@ -59,5 +62,9 @@
 // cost returns the cost of the candidate in requests.
 func (l *LeastRequests) cost(c rhubarbgate.Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
-	return float64(c.InFlight) + queuedCost*float64(c.Queued) + occupiedCost*float64(c.Reported)/slots + distanceCost*float64(c.Distance-1)
+	connect := connectCost
+	if c.Connected {
+		connect = 0
+	}
+	return connect + float64(c.InFlight) + queuedCost*float64(c.Queued) + occupiedCost*float64(c.Reported)/slots + distanceCost*float64(c.Distance-1)
 }
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -84,3 +84,29 @@
 	c[0].InFlight = 32
 	qt.Assert(t, countPicks(p, c, 0, 100), qt.DeepEquals, []int{0, 100})
 }
+
+// TestOpenConnectionsDecideBetweenEqualTargets guards against a new connection for most
+// requests while targets are idle, as with more targets than an entry has requests a second,
+// and against a choice by connection where the load or the distance differ.
+func TestOpenConnectionsDecideBetweenEqualTargets(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(connected, other *rhubarbgate.Candidate)
+		want   bool // the connected target is chosen
+	}{
+		{"equal", func(_, _ *rhubarbgate.Candidate) {}, true},
+		{"a request in flight", func(c, _ *rhubarbgate.Candidate) { c.InFlight = 1 }, false},
+		{"a request of others", func(c, _ *rhubarbgate.Candidate) { c.Reported = 3 }, false},
+		{"farther", func(c, _ *rhubarbgate.Candidate) { c.Distance = 2 }, false},
+		{"the other is busier", func(_, o *rhubarbgate.Candidate) { o.Reported = 1 }, true},
+	}
+	for _, test := range tests {
+		c := candidates(8)
+		c[5].Connected = true
+		test.change(&c[5], &c[0])
+		l := &LeastRequests{Random: rand.New(rand.NewPCG(1, 1))}
+		for range 20 {
+			qt.Assert(t, l.Pick(rhubarbgate.PickRequest{}, c) == 5, qt.Equals, test.want, qt.Commentf("%s", test.name))
+		}
+	}
+}
--- a/picker.go
+++ b/picker.go
@@ -24,6 +24,8 @@
 	Queued int
 	// Wait is the target's estimate of how long a new request is queued.
 	Wait time.Duration
+	// Connected says that an open connection to the target can carry the request.
+	Connected bool
 	// Latency is this entry's moving average of the target's latency: the time to the
 	// first data of a response and, for streams, the gaps between tokens.
 	Latency time.Duration
