raft, ingress: recovery when hosts start half a second apart

The election without a wait never came: hosts stopped asking 0.35 s after their start, and a pre-vote that was granted did not count as the reply of an idle voter. The leader came at 36.37 s, by the timeout. Then 385 requests were refused as stale: an entry had a configuration from a control host that could not confirm it yet, and only the lack of one was waited for. Change: idle replicas ask for 3 s after their start, beside the usual election, and say their own term in every reply to a pre-vote. Requests at an entry that has just started wait for a confirmed configuration. The pauses of addresses that no side confirmed are dropped when they end. Result: TestElectionAfterAllRestarted now starts replicas up to 0.11 s apart each, and bounds the time after the last start to half an election timeout; TestRequestsAwaitTheFirstConfiguration has the stale cases.

--- a/internal/consensus/raft/election.go
+++ b/internal/consensus/raft/election.go
@@ -11,7 +11,8 @@
 		c.tickLeader(now)
 		return
 	}
-	if c.askIdle(now) || now.Before(c.electionDeadline) {
+	c.askIdle(now)
+	if now.Before(c.electionDeadline) {
 		return
 	}
 	c.resetElectionTimer()
--- a/internal/consensus/raft/message.go
+++ b/internal/consensus/raft/message.go
@@ -117,6 +117,10 @@
 	Checksum uint32
 }
 
+// IdleState describes a replica that heard no leader since its start. Term is its own term,
+// which a granted pre-vote does not show.
+type IdleState struct{ Term uint64 }
+
 // Message is sent from one replica of a group to another.
 type Message struct {
 	Kind            MessageKind
@@ -138,9 +142,9 @@
 	// Forced marks an election that no lease can oppose: the leader itself asked for it,
 	// or all voters restarted.
 	Forced bool `msgpack:",omitempty"`
-	// Idle says in a PreVoteReply that the sender heard no leader since its start. Index
+	// Idle is set in a PreVoteReply of a sender that heard no leader since its start. Index
 	// and LogTerm then identify the last entry of its log.
-	Idle bool `msgpack:",omitempty"`
+	Idle *IdleState `msgpack:",omitempty"`
 	// Clock is the time since the sender's start, by the sender's clock, plus a random
 	// offset; Echo is the Clock of the receiver's last reply, or that of the message that
 	// the sender replies to.
--- a/internal/consensus/raft/raft_test.go
+++ b/internal/consensus/raft/raft_test.go
@@ -403,7 +403,8 @@
 		cl.inFlight = nil // connections do not survive the loss of power
 		for _, id := range ids {
 			cl.start(cl.replicas[id])
-			if cl.random.IntN(2) == 0 {
+			// Hosts start up to half a second apart, longer than an election timeout.
+			for range cl.random.IntN(12) {
 				cl.step()
 			}
 		}
@@ -412,7 +413,7 @@
 			cl.step()
 			elected += testStep
 		}
-		qt.Assert(t, elected < testElection, qt.IsTrue, qt.Commentf("seed %d: no leader after %v", seed, elected))
+		qt.Assert(t, elected < testElection/2, qt.IsTrue, qt.Commentf("seed %d: no leader after %v", seed, elected))
 	}
 }
 
--- a/internal/consensus/raft/restart.go
+++ b/internal/consensus/raft/restart.go
@@ -22,28 +22,32 @@
 	return !c.sawLeader && (c.phase == Follower || c.phase == PreCandidate)
 }
 
+// askIdlePeriod is the time after its start for which an idle replica asks the others. Hosts
+// that lost power together start within less.
+const askIdlePeriod = 3 * time.Second
+
 // askIdle asks the other voters whether they are idle since their start, as long as the
-// replica is, and as long as it grants no votes. It reports whether it asked.
-func (c *core) askIdle(now time.Time) bool {
-	if !c.idleSinceStart() || !c.voter() || c.members.Quorum() == 1 || now.Sub(c.startedAt) >= c.electionTimeout {
-		return false
+// replica is.
+func (c *core) askIdle(now time.Time) {
+	if !c.idleSinceStart() || !c.voter() || c.members.Quorum() == 1 || now.Sub(c.startedAt) >= askIdlePeriod {
+		return
 	}
 	for _, m := range c.members {
 		if m.ID != c.id && !m.Learner {
-			// The reply to a pre-vote says it; the pre-vote itself is rejected.
+			// The reply says it, whether or not it grants the pre-vote.
 			c.sendImmediately(m, Message{Kind: PreVote, Term: c.term + 1, Index: c.raftLog.last(), LogTerm: c.raftLog.lastTerm()})
 		}
 	}
-	return true
 }
 
 // onIdleReply records a voter that is idle since its start. Once all voters are, in the
-// same term, the one with the most complete log and the lowest ID starts an election.
+// same term, the one with the most complete log and the lowest ID starts an election. In
+// the same term, because a voter of an earlier one could still be elected in this term.
 func (c *core) onIdleReply(m Message) {
-	if !m.Idle || !m.Reject || !c.idleSinceStart() || !c.voter() {
+	if m.Idle == nil || !c.idleSinceStart() || !c.voter() {
 		return
 	}
-	c.idle[m.From] = idleReply{term: m.Term, logTerm: m.LogTerm, index: m.Index}
+	c.idle[m.From] = idleReply{term: m.Idle.Term, logTerm: m.LogTerm, index: m.Index}
 	for _, x := range c.members {
 		if x.ID == c.id || x.Learner {
 			continue
--- a/internal/consensus/raft/step.go
+++ b/internal/consensus/raft/step.go
@@ -82,9 +82,6 @@
 	if !grant {
 		reply.Reject = true
 		reply.Term = c.term
-		if m.Kind == PreVote && c.idleSinceStart() && c.voter() {
-			reply.Idle, reply.Index, reply.LogTerm = true, c.raftLog.last(), c.raftLog.lastTerm()
-		}
 	} else if m.Kind == Vote {
 		c.votedFor = m.From
 		c.hardStateChanged = true
@@ -92,6 +89,9 @@
 		c.resetElectionTimer()
 	}
 	if m.Kind == PreVote {
+		if c.idleSinceStart() && c.voter() {
+			reply.Idle, reply.Index, reply.LogTerm = &IdleState{c.term}, c.raftLog.last(), c.raftLog.lastTerm()
+		}
 		c.sendImmediately(sender(m), reply) // a pre-vote depends on no durable state
 		return
 	}
--- a/internal/controller/discovery/adopt.go
+++ b/internal/controller/discovery/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -79,10 +80,11 @@
 // adoption ends when the list shows another instance at its address, or none. The lock is
 // held.
 func (t *Table) withAdoptions(list []rhubarbgate.Instance) []rhubarbgate.Instance {
+	now := t.Clock.Now()
+	maps.DeleteFunc(t.adoptionPauses, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
 	if len(t.adoptions) == 0 {
 		return list
 	}
-	now := t.Clock.Now()
 	kept := map[netip.AddrPort]adoption{}
 	r := make([]rhubarbgate.Instance, len(list))
 	for i, x := range list {
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -18,6 +18,9 @@
 	// fourth of the time for which the caller waits.
 	maxStartWait     = 600 * time.Millisecond
 	startWaitDivisor = 4
+	// confirmationCheckInterval is how often a waiting request checks whether the
+	// configuration is confirmed, which Source.Changed does not signal.
+	confirmationCheckInterval = 20 * time.Millisecond
 	// startPeriod is the time after the start of an entry in which requests wait.
 	startPeriod = 2 * time.Second
 	// controlRetryAfter is the shortest Retry-After while this entry cannot confirm its
@@ -45,7 +48,7 @@
 
 // Handle implements Filter.
 func (f *routeFilter) Handle(x *Exchange, next Handler) error {
-	if x.Config.Version == 0 {
+	if x.Config.Version == 0 || f.server.configStale() {
 		f.server.awaitConfiguration(x)
 	}
 	if x.Config.Version == 0 {
@@ -76,8 +79,8 @@
 	return next(x)
 }
 
-// awaitConfiguration waits briefly for the first configuration of an entry that has just
-// started: it takes an election and a poll, while a refused caller may not return at all.
+// awaitConfiguration waits briefly for the first confirmed configuration of an entry that has
+// just started: it takes an election and a poll, while a refused caller may not return at all.
 func (s *Server) awaitConfiguration(x *Exchange) {
 	if s.Clock.Since(s.startedAt) >= startPeriod {
 		return
@@ -90,11 +93,12 @@
 	defer timeout.Stop()
 	for {
 		changed := s.Source.Changed()
-		if x.Config = s.Source.Current(); x.Config.Version > 0 {
+		if x.Config = s.Source.Current(); x.Config.Version > 0 && !s.configStale() {
 			return
 		}
 		select {
 		case <-changed:
+		case <-s.Clock.After(confirmationCheckInterval):
 		case <-timeout.Chan():
 			return
 		case <-x.Context.Done():
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -112,7 +112,10 @@
 }
 
 // configure gives the entry a configuration with routes of several kinds.
-func (e *testEntry) configure(version uint64) {
+func (e *testEntry) configure(version uint64) { e.configureConfirmed(version, time.Now()) }
+
+// configureConfirmed is configure with a configuration that was confirmed at a given time.
+func (e *testEntry) configureConfirmed(version uint64, at time.Time) {
 	lm := []rhubarbgate.Share{{Service: "lm", Weight: 1}}
 	route := func(name string, k rhubarbgate.RouteKind, attempts int, resumable bool) rhubarbgate.Route {
 		return rhubarbgate.Route{
@@ -131,7 +134,7 @@
 		},
 	}
 	c := config.FromSection(version, nil, s)
-	e.source.ApplyReply(&control.PollReply{Version: version, Sum: c.Sum, Section: &s, Groups: 1}, time.Now())
+	e.source.ApplyReply(&control.PollReply{Version: version, Sum: c.Sum, Section: &s, Groups: 1}, at)
 }
 
 // send sends a request and returns the status, the body and the error from reading it.
@@ -555,18 +558,24 @@
 	for _, test := range []struct {
 		name       string
 		configured bool
+		stale      bool          // there is a configuration that is not confirmed yet
 		age        time.Duration // of the entry
 		status     int
 	}{
-		{"a configuration comes", true, 0, 200},
-		{"none comes", false, 0, 503},
-		{"the entry is not new", false, startPeriod, 503},
+		{"a configuration comes", true, false, 0, 200},
+		{"a configuration is confirmed", true, true, 0, 200},
+		{"none comes", false, false, 0, 503},
+		{"none is confirmed", false, true, 0, 503},
+		{"the entry is not new", false, false, startPeriod, 503},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			e := newEntry(t, &platformtest.Target{})
 			e.server.Source = &configuration.Watcher{Clock: e.server.Clock, Logger: e.server.Logger}
 			e.source = e.server.Source.(*configuration.Watcher)
 			e.server.startedAt = time.Now().Add(-test.age)
+			if test.stale {
+				e.configureConfirmed(1, time.Now().Add(-2*e.server.MaxAge))
+			}
 			var statuses sync.Map
 			var callers sync.WaitGroup
 			startedAt := time.Now()
