--- a/internal/http/ingress/stall_test.go
+++ b/internal/http/ingress/stall_test.go
@@ -14,11 +14,11 @@
 
 // serveWithStallTimeout serves the entry's callers on another listener with the timeout.
 func (e *testEntry) serveWithStallTimeout(d time.Duration) {
-	e.server.StallTimeout = d
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(e.t, err, qt.IsNil)
 	e.t.Cleanup(func() { l.Close() })
-	go func() { _ = e.server.Serve(l) }()
+	// The entry already serves, so its StallTimeout can no longer be set.
+	go func() { _ = e.server.http.Serve(&stallListener{Listener: l, clock: e.server.Clock, timeout: d}) }()
 	e.url = "http://" + l.Addr().String()
 }
 
