command: a side that cannot listen runs all the same

Sides listen since at their target's IP and the fleet port. All targets of a soak are at 127.0.0.1, so one side of a run got the port and the others ended with 'address already in use'; beside another soak all of them did. Change: a side that cannot listen logs it and runs without; an entry then gets no confirmation and waits for the list.

--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"os"
 	"runtime/debug"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 	"github.com/spf13/pflag"
 
@@ -129,11 +131,20 @@
 		return err
 	}
 	if s.direct.fleetPort != 0 {
-		var err error
-		if h.Listener, err = socket.Listen(netip.AddrPortFrom(t.Addr(), s.direct.fleetPort).String()); err != nil {
-			return errors.Trace(err)
-		}
+		h.Listener = listenForEntries(netip.AddrPortFrom(t.Addr(), s.direct.fleetPort), h.Logger)
 	}
 	h.Logger.WithField("target", t.String()).Info("serving")
 	return errors.Trace(h.Run(ctx))
 }
+
+// listenForEntries listens for entries that ask which target a side has. Without a listener,
+// as on a host with several targets whose address another side took, the side only cannot
+// confirm that its target restarted, so a failure is logged and does not stop it.
+func listenForEntries(a netip.AddrPort, l log.Interface) net.Listener {
+	listener, err := socket.Listen(a.String())
+	if err != nil {
+		l.WithError(err).WithField("listen", a.String()).Warn("entries cannot ask this side for its target")
+		return nil
+	}
+	return listener
+}
