crashes: log what the prompts of broken responses share, and whether the target ended

Of the three hypotheses the logs could support none: no line named the parts of a prompt, how far a response had come, or whether its target had ended or only closed a connection. Entries and sides now write one line for each response that a target breaks off, with the parts of the prompt that other requests may share, the time since its first event, and whether the target refuses connections. Three counters go with it. Nothing is decided by it yet.

--- a/dialect.go
+++ b/dialect.go
@@ -34,8 +34,14 @@
 	Item string
 	// After is the position of the first result to read.
 	After int
+	// PromptParts are the IDs of the prompt's parts, in order. Requests share parts, except
+	// the last one, which belongs to the request or its session.
+	PromptParts []string
 }
 
+// SharedParts returns the parts of the prompt that other requests may have too.
+func (c *Call) SharedParts() []string { return c.PromptParts[:max(0, len(c.PromptParts)-1)] }
+
 // TargetCall holds the values that a request to a target carries in headers set
 // by the system.
 type TargetCall struct {
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -68,6 +68,7 @@
 
 	ejector         health.Ejector
 	confirming      singleflight.Group // calls of Confirm, by address
+	checkingEnd     singleflight.Group // connection attempts of HasEnded, by name of the target
 	once            sync.Once
 	mu              sync.RWMutex
 	targets         map[targetKey]*Target
@@ -94,8 +95,9 @@
 	// instance's life, whatever the list shows: the list lags, and may be out of reach.
 	announcedLeaving atomic.Bool
 
-	inFlight atomic.Int64
-	load     atomic.Pointer[loadReport]
+	inFlight   atomic.Int64
+	load       atomic.Pointer[loadReport]
+	endedCheck atomic.Pointer[endedCheck]
 }
 
 // loadReport is a load that a target reported and when it arrived.
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -10,6 +10,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
+	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 )
@@ -67,6 +68,8 @@
 	head     rhubarbgate.TargetResponse
 	cancel   context.CancelFunc
 	finished bool
+	// answeringSince is when the first data of the response's body arrived.
+	answeringSince time.Time
 }
 
 // forward sends the request to a target. After a failure it sends it to another target,
@@ -194,6 +197,7 @@
 		switch {
 		case e.Verdict != rhubarbgate.NotRun:
 			q.possibleRuns++
+			a.recordBreak(e)
 		case !retryUnreached:
 			q.unreached = append(q.unreached, t)
 		}
@@ -275,7 +279,9 @@
 	if err != nil {
 		a.server.Counts.TruncatedResponses.Add(1)
 		a.finish(true)
-		return a.truncationError(err)
+		e := a.truncationError(err)
+		a.recordBreak(e)
+		return e
 	}
 	failed := a.response.Status >= fasthttp.StatusInternalServerError
 	if failed && a.x.idempotent() && a.possibleRuns < a.x.Route.Attempts {
@@ -285,6 +291,7 @@
 	}
 	a.copyHead()
 	if len(body) > maxBufferedBytes {
+		a.answeringSince = a.server.Clock.Now()
 		a.x.HTTP.Response.SetBodyStream(&longBody{attempt: a, buffered: body, remaining: maxResponseBytes - len(body)}, -1)
 		return nil
 	}
@@ -304,6 +311,20 @@
 	}
 }
 
+// recordBreak records that the target broke off the response with the error e.
+func (a *attempt) recordBreak(e *rhubarbgate.Error) {
+	if e.Code != rhubarbgate.CodeUpstream {
+		return
+	}
+	now := a.server.Clock.Now()
+	b := crashes.Break{Target: a.target, Parts: a.x.Call.SharedParts(), At: now, Fields: a.x.fields(now), Cause: e.Message}
+	if !a.answeringSince.IsZero() {
+		b.Answering = now.Sub(a.answeringSince)
+	}
+	b.Fields["sent"] = len(a.tried)
+	a.server.Crashes.RecordBreak(b)
+}
+
 // truncationError returns the error for a response that is incomplete because of err. Its
 // code says whether the caller disconnected, the deadline passed or the target failed.
 func (a *attempt) truncationError(err error) *rhubarbgate.Error {
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -19,6 +19,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -44,6 +45,8 @@
 	// Holder spends this entry's rate-limit grants.
 	Holder  *limit.Holder
 	Targets *discovery.Table
+	// Crashes, if set, records responses that targets break off.
+	Crashes *crashes.Recorder
 	// Stores calls the store hosts, which keep the batch jobs.
 	Stores *control.Client
 	Picker rhubarbgate.Picker
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -22,7 +22,9 @@
 	if err != nil && err != io.EOF {
 		a.server.Counts.TruncatedResponses.Add(1)
 		a.finish(true)
-		return a.truncationError(err)
+		e := a.truncationError(err)
+		a.recordBreak(e)
+		return e
 	}
 	r.setEvent(first)
 	a.copyHead()
@@ -42,6 +44,9 @@
 // setEvent makes e the next event to read.
 func (r *streamBody) setEvent(e events.Event) {
 	r.unread = e.Raw
+	if r.answeringSince.IsZero() {
+		r.answeringSince = r.server.Clock.Now()
+	}
 	if e.ID != "" {
 		r.lastEventID = e.ID
 	}
@@ -87,6 +92,7 @@
 	s, q := r.server, r.forwardedRequest
 	s.Counts.TruncatedResponses.Add(1)
 	e := r.truncationError(cause)
+	r.recordBreak(e)
 	r.finish(e.Code == rhubarbgate.CodeUpstream)
 	if !r.x.Route.Resumable || r.lastEventID == "" || e.Code != rhubarbgate.CodeUpstream {
 		s.Logger.WithFields(r.x.fields(s.Clock.Now())).Info("stream truncated: " + e.Message)
@@ -153,6 +159,7 @@
 	if err != nil {
 		l.server.Counts.TruncatedResponses.Add(1)
 		e := l.truncationError(err)
+		l.recordBreak(e)
 		l.finish(e.Code == rhubarbgate.CodeUpstream)
 		l.server.Logger.WithFields(l.x.fields(l.server.Clock.Now())).Info("response truncated: " + e.Message)
 	}
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -17,6 +17,7 @@
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
 	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
@@ -95,6 +96,7 @@
 	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
 	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
 	table := d.table()
+	recorder := crashes.NewRecorder(table, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
 		OnTargets: table.Update,
 		Wire:      d.Wire, Parents: d.Control, Clock: d.Clock, Random: derivedRandom(d.Random, 1), Logger: d.Logger,
@@ -111,7 +113,7 @@
 	}
 	exchange.Start()
 	d.server = &ingress.Server{
-		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Stores: stores,
+		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Stores: stores,
 		Picker: &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
@@ -121,6 +123,7 @@
 	served := make(chan error, 2)
 	tasks.Go(func() { watcher.Run(work) })
 	tasks.Go(func() { table.Run(work) })
+	tasks.Go(func() { recorder.Run(work) })
 	tasks.Go(func() { exchange.Run(work) })
 	tasks.Go(func() { served <- d.server.Serve(d.Listener) })
 	tasks.Go(func() { served <- d.server.ServeReadiness(d.Readiness) })
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -18,6 +18,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
@@ -99,6 +100,7 @@
 	keeper         *gatekeeper.Gatekeeper
 	targetClient   *target.Client
 	worker         *worker
+	crashes        *crashes.Recorder // nil without a Probe
 	leaving        atomic.Bool
 	targetDown     atomic.Bool
 	activeRequests atomic.Int64
@@ -182,6 +184,7 @@
 	if h.Probe != nil {
 		h.watcher.OnPeers = func(p control.Peers) { h.control.SetHosts(p.Stores) }
 		h.watcher.OnTargets = h.Targets.Update
+		h.crashes = crashes.NewRecorder(h.Targets, h.Clock, h.Logger, h.Metrics)
 		h.Targets.Confirm = func(_ context.Context, i rhubarbgate.Instance) bool { return i.Address == h.Target }
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -8,9 +8,11 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/http/events"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
@@ -103,15 +105,61 @@
 	defer cancel(context.Canceled)
 	stallTimer := w.clock.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
 	defer stallTimer.Stop()
-	a, err := h.targetClient.Do(ctx, q)
+	var answeringSince time.Time
+	e := w.exchange(ctx, t, q, i, item.ID, func() {
+		if answeringSince.IsZero() {
+			answeringSince = w.clock.Now()
+		}
+		stallTimer.Reset(itemStallTimeout)
+	})
+	if e != nil && e.Code == rhubarbgate.CodeUpstream && e.Verdict == rhubarbgate.MayHaveRun && ctx.Err() == nil {
+		w.recordBreak(t, i, &item, answeringSince, e)
+	}
+	return e
+}
+
+// exchange sends an item to the target and reads the response.
+func (w *worker) exchange(ctx context.Context, t *task, q *target.Request, i rhubarbgate.Instance, id string, onEvent func()) *rhubarbgate.Error {
+	a, err := w.host.targetClient.Do(ctx, q)
 	if err != nil {
 		return rhubarbgate.AsError(err)
 	}
 	defer a.Close()
-	if e := w.checkHead(a, i, item.ID); e != nil {
+	if e := w.checkHead(a, i, id); e != nil {
 		return e
 	}
-	return t.output.readEvents(a, func() { stallTimer.Reset(itemStallTimeout) })
+	return t.output.readEvents(a, onEvent)
+}
+
+// recordBreak records that the target broke off the response to an item with the error e.
+func (w *worker) recordBreak(t *task, i rhubarbgate.Instance, item *rhubarbgate.JobItem, answeringSince time.Time, e *rhubarbgate.Error) {
+	x := w.host.Targets.Target(i)
+	if x == nil {
+		return
+	}
+	now := w.clock.Now()
+	b := crashes.Break{Target: x, Parts: w.sharedParts(item), At: now, Cause: e.Message, Fields: log.Fields{
+		"job": t.grant.Ref.Job, "index": t.grant.Ref.Index, "attempt": t.grant.Ref.Attempt, "workspace": t.grant.Workspace,
+	}}
+	if !answeringSince.IsZero() {
+		b.Answering = now.Sub(answeringSince)
+	}
+	w.host.crashes.RecordBreak(b)
+}
+
+// sharedParts returns the parts of an item's prompt that other requests may have too.
+func (w *worker) sharedParts(item *rhubarbgate.JobItem) []string {
+	call, err := w.host.Dialect.DecodeCall(http.MethodPost, item.Path, func(name string) string {
+		i := slices.IndexFunc(item.Headers, func(h rhubarbgate.Header) bool { return strings.EqualFold(h.Name, name) })
+		if i < 0 {
+			return ""
+		}
+		return item.Headers[i].Value
+	})
+	if err != nil {
+		return nil // the target refuses the path too
+	}
+	return call.SharedParts()
 }
 
 // forwardedHeaders returns the headers of an item that may reach a target. Its submitter may
