--- /dev/null
+++ b/internal/role/entry/crash_test.go
@@ -0,0 +1,240 @@
+package entry_test
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/role/entry"
+	"rhubarbgate.example/rhubarbgate/internal/role/replica"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/platform"
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
+)
+
+const (
+	controlCount, entryCount, targetCount = 3, 3, 8
+	callerKey                             = "key"
+	callerTimeout                         = 4 * time.Second
+	// noticeTime is how long after the fifth crash the fleet may still send requests with
+	// the part that causes the crashes.
+	noticeTime = 3 * time.Second
+	crashPart  = "bad"
+)
+
+// fleet is a fleet in this process: control hosts, entries and emulated targets.
+type fleet struct {
+	t       *testing.T
+	client  *platformtest.Client
+	entries []netip.AddrPort
+	targets []*platformtest.Target
+}
+
+// startFleet starts a fleet that runs until the test ends, and returns it once all entries serve.
+func startFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, client: platformtest.NewClient()}
+	var list platformtest.List
+	for i := range targetCount {
+		x := &platformtest.Target{
+			Instance: fmt.Sprintf("i-%d", i), Service: platformtest.TargetService, Zone: "z", Slots: 8, Events: 12, Pace: 10 * time.Millisecond,
+			CrashPart: crashPart, Downtime: 700 * time.Millisecond,
+		}
+		qt.Assert(t, x.Start(), qt.IsNil)
+		t.Cleanup(x.Close)
+		f.targets = append(f.targets, x)
+	}
+	list.Set(f.targets)
+	qt.Assert(t, list.Start(), qt.IsNil)
+	t.Cleanup(list.Close)
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+	})
+	var seeds []netip.AddrPort
+	var listeners []net.Listener
+	for range controlCount {
+		l := f.listen()
+		listeners = append(listeners, l)
+		seeds = append(seeds, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.New()}
+	directory := &platform.Directory{Client: &target.Client{Address: list.Address()}}
+	dir := t.TempDir()
+	for i, l := range listeners {
+		h := &replica.Host{
+			Data: filepath.Join(dir, fmt.Sprint(i)), Listen: seeds[i], Seeds: seeds, Listener: l, Name: fmt.Sprint(i), AvailabilityZone: "z",
+			ToleratedLosses: 1, JobGroups: 1, StoreGroups: 1, Directory: directory,
+			Clock: clock, Random: rand.New(rand.NewPCG(uint64(i), 1)), Logger: logger, Metrics: new(expvar.Map).Init(),
+		}
+		qt.Assert(t, h.Open(), qt.IsNil)
+		running.Go(func() { _ = h.Run(ctx) })
+	}
+	for i := range entryCount {
+		d := &entry.Direct{
+			Listener: f.listen(), Readiness: f.listen(), AvailabilityZone: "z", Control: seeds, Dialect: platform.Dialect{}, Directory: directory,
+			Wire: wire.NewClient(nil), Clock: clock, Random: rand.New(rand.NewPCG(uint64(i), 2)), Logger: logger, Metrics: new(expvar.Map).Init(),
+			MaxAge: 3 * time.Second, Grace: time.Second,
+		}
+		f.entries = append(f.entries, d.Listener.Addr().(*net.TCPAddr).AddrPort())
+		running.Go(func() { _ = d.Run(ctx) })
+	}
+	f.configure(ctx, &control.Client{Wire: wire.NewClient(nil), Hosts: seeds, Clock: clock})
+	f.awaitServing()
+	return f
+}
+
+// listen listens on a free loopback port.
+func (f *fleet) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(f.t, err, qt.IsNil)
+	return l
+}
+
+// configure commits a configuration.
+func (f *fleet) configure(ctx context.Context, c *control.Client) {
+	b, err := platform.DecodeConfiguration(platformtest.Document(1, map[string][]string{"w": {callerKey}}))
+	qt.Assert(f.t, err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	r, err := c.Commit(ctx, &control.Commit{Bundle: *b})
+	qt.Assert(f.t, err, qt.IsNil)
+	qt.Assert(f.t, r.Result.Err == nil, qt.IsTrue, qt.Commentf("%v", r.Result.Err))
+}
+
+// awaitServing waits until every entry serves a request.
+func (f *fleet) awaitServing() {
+	until := time.Now().Add(20 * time.Second)
+	for i := range f.entries {
+		for n := 0; !f.send(i, "safe", fmt.Sprintf("warm-%d-%d", i, n), nil); n++ {
+			qt.Assert(f.t, time.Now().Before(until), qt.IsTrue, qt.Commentf("entry %d does not serve", i))
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// send sends a request to an entry and reports whether it was served.
+func (f *fleet) send(entry int, route, id string, parts []string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	r := f.client.SendPrompt(ctx, f.entries[entry], route, id, callerKey, callerTimeout, parts)
+	return r.Err == nil && r.Status == 200
+}
+
+// crashes returns when targets crashed, in order.
+func (f *fleet) crashes() []time.Time {
+	var all []time.Time
+	for _, x := range f.targets {
+		all = append(all, x.Crashes()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
+// sentRequest is a request with a sound prompt.
+type sentRequest struct {
+	at     time.Time
+	served bool
+}
+
+// soundCallers sends requests whose prompts share their first part with those that crash
+// targets, until ctx ends, and returns them.
+func (f *fleet) soundCallers(ctx context.Context) []sentRequest {
+	var mu sync.Mutex
+	var sent []sentRequest
+	var callers sync.WaitGroup
+	for c := range 12 {
+		callers.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(c), 3))
+			for n := 0; ctx.Err() == nil; n++ {
+				at := time.Now()
+				route := []string{"stream", "resume"}[random.IntN(2)]
+				parts := []string{"common", fmt.Sprintf("subject-%d", random.IntN(40)), fmt.Sprintf("own-%d-%d", c, n)}
+				served := f.send(random.IntN(entryCount), route, fmt.Sprintf("sound-%d-%d", c, n), parts)
+				mu.Lock()
+				sent = append(sent, sentRequest{at, served})
+				mu.Unlock()
+				time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	return sent
+}
+
+// servedShare returns the share of the requests sent from start until end that were served.
+func servedShare(sent []sentRequest, start, end time.Time) float64 {
+	n, served := 0, 0
+	for _, r := range sent {
+		if r.at.Before(start) || !r.at.Before(end) {
+			continue
+		}
+		n++
+		if r.served {
+			served++
+		}
+	}
+	return float64(served) / float64(max(n, 1))
+}
+
+// TestPromptPartThatCrashesTargets guards against requests with one common part in their prompts
+// ending one target after the other, and against refusing sound requests instead.
+func TestPromptPartThatCrashesTargets(t *testing.T) {
+	f := startFleet(t)
+	start := time.Now()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	sound := make(chan []sentRequest, 1)
+	go func() { sound <- f.soundCallers(ctx) }()
+	time.Sleep(1500 * time.Millisecond)
+
+	firstBad := time.Now()
+	var bad sync.WaitGroup
+	for n := 0; ; n++ {
+		c := f.crashes()
+		if len(c) >= 5 && time.Since(c[4]) > 3*noticeTime || time.Since(firstBad) > 8*noticeTime {
+			break
+		}
+		bad.Go(func() {
+			f.send(n%entryCount, []string{"stream", "resume"}[n/entryCount%2], fmt.Sprintf("bad-%d", n), []string{"common", crashPart, fmt.Sprintf("bad-own-%d", n)})
+		})
+		time.Sleep(120 * time.Millisecond)
+	}
+	bad.Wait()
+	stop()
+	sent := <-sound
+
+	crashes := f.crashes()
+	known := firstBad.Add(noticeTime)
+	if len(crashes) >= 5 {
+		known = crashes[4].Add(noticeTime)
+	}
+	late := 0
+	for _, x := range f.targets {
+		for _, at := range x.CrashingRuns() {
+			if at.After(known) {
+				late++
+			}
+		}
+	}
+	qt.Check(t, late <= 3, qt.IsTrue, qt.Commentf("%d requests with the part reached targets later than %v after the fifth crash; %d crashes", late, noticeTime, len(crashes)))
+	before, after := servedShare(sent, start, firstBad), servedShare(sent, known.Add(noticeTime), time.Now())
+	qt.Check(t, after >= before/2, qt.IsTrue, qt.Commentf("of the sound requests %.2f were served before the crashes, %.2f afterwards", before, after))
+	t.Logf("%d crashes, %d late; served %.2f before, %.2f after", len(crashes), late, before, after)
+}
