discovery: a request before the first list does not panic

Cause: only Update, Refresh and Run set up the table, not what requests call. Candidates, Target and Find set it up too. TestTableWithoutAList panicked before and passes now.

--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -250,6 +250,7 @@
 
 // Target returns the listed target of an instance, or nil.
 func (t *Table) Target(i rhubarbgate.Instance) *Target {
+	t.initialize()
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.targets[targetKey{i.ID, i.Address}]
@@ -257,6 +258,7 @@
 
 // Find returns the instance at an address, if it is listed.
 func (t *Table) Find(address netip.AddrPort) (rhubarbgate.Instance, bool) {
+	t.initialize()
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	for _, x := range t.targets {
@@ -273,6 +275,7 @@
 // what the choice between them needs. It leaves out leaving targets, those in tried,
 // and ejected ones unless too many are ejected.
 func (t *Table) Candidates(service string, idempotent bool, tried []*Target) ([]*Target, []rhubarbgate.Candidate) {
+	t.initialize()
 	now := t.Clock.Now()
 	var list []*Target
 	t.mu.RLock()
--- a/internal/controller/discovery/table_test.go
+++ b/internal/controller/discovery/table_test.go
@@ -95,3 +95,11 @@
 		})
 	}
 }
+
+// TestTableWithoutAList guards against a panic at a request that arrives before any list.
+func TestTableWithoutAList(t *testing.T) {
+	table := &Table{Clock: clockwork.NewFakeClock()}
+	list, candidates := table.Candidates("s", true, nil)
+	qt.Assert(t, list, qt.HasLen, 0)
+	qt.Assert(t, candidates, qt.HasLen, 0)
+}
