platformtest: tests rename an instance through a method

TestRestartedTargetIsUsedAheadOfTheList and TestReusedAddress failed since: they set the field Instance of a started target, which the emulated target reads only at its start since targets can crash and come back. They call Rename now, which changes the ID under the target's lock; the tests check the same as before and pass.

--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -354,7 +354,7 @@
 func TestReusedAddress(t *testing.T) {
 	x := &platformtest.Target{}
 	e := newEntry(t, x)
-	x.Instance = "i-new"
+	x.Rename("i-new")
 	status, _, err := e.send(context.Background(), "unsafe", "r", secret)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, status, qt.Equals, 503)
@@ -526,7 +526,7 @@
 				return beside
 			}
 			for i, x := range targets {
-				x.Instance = fmt.Sprintf("i-new-%d", i)
+				x.Rename(fmt.Sprintf("i-new-%d", i))
 			}
 			for i := range 10 {
 				status, _, err := e.send(context.Background(), "unsafe", fmt.Sprint(i), secret)
