--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -29,7 +29,7 @@
 	// longer kept.
 	Since(version uint64) ([]rhubarbgate.Bundle, bool)
 	// Changed returns a channel that is closed at the next change of the
-	// configuration or the list of targets, or when the backlog gains a need.
+	// configuration, the list of targets or the quarantine, or when the backlog gains a need.
 	Changed() <-chan struct{}
 	// Groups returns the number of job groups, 0 while it is unknown.
 	Groups() int
@@ -39,6 +39,8 @@
 	Peers() control.Peers
 	// Targets returns the platform's list of targets and when it was requested.
 	Targets() (list control.TargetList, requestedAt time.Time)
+	// Quarantine returns the parts of prompts at which targets end, as of now.
+	Quarantine(now time.Time) control.Quarantine
 }
 
 // Register serves polls of other daemons from s.
@@ -52,7 +54,9 @@
 // list, it first waits for a change, as long as the poll allows.
 func replyToPoll(ctx context.Context, s Source, clock clockwork.Clock, p *control.Poll) *control.PollReply {
 	changed, receivedAt := s.Changed(), clock.Now()
-	if list, _ := s.Targets(); s.Current().Version <= p.Version && list.Digest == p.Targets && p.Wait > 0 {
+	list, _ := s.Targets()
+	newQuarantine := s.Quarantine(receivedAt).Version.NewerThan(p.Quarantine)
+	if s.Current().Version <= p.Version && list.Digest == p.Targets && !newQuarantine && p.Wait > 0 {
 		t := clock.NewTimer(min(p.Wait, maxPollHold))
 		defer t.Stop()
 		select {
@@ -68,6 +72,7 @@
 	c := s.Current()
 	r := &control.PollReply{Version: c.Version, Digest: c.Digest, Sum: c.Sum, Age: age, Held: now.Sub(receivedAt), Groups: s.Groups(), Backlog: s.Backlog(), Peers: s.Peers()}
 	r.Targets = TargetListReply(s, now, p.Targets)
+	r.Quarantine = QuarantineReply(s, now, p.Quarantine)
 	if c.Version <= p.Version {
 		return r
 	}
@@ -98,6 +103,16 @@
 	return &list
 }
 
+// QuarantineReply returns the quarantine, or nil unless it is newer than the version that the
+// process that asks holds.
+func QuarantineReply(s Source, now time.Time, held control.QuarantineVersion) *control.Quarantine {
+	q := s.Quarantine(now)
+	if !q.Version.NewerThan(held) {
+		return nil
+	}
+	return &q
+}
+
 // Notifier signals events by closing a channel that all waiting goroutines share.
 type Notifier struct {
 	mu sync.Mutex
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -54,6 +54,8 @@
 	// OnTargets, if set, is called with the list of targets that a reply carries or
 	// confirms, and when the list was requested from the platform.
 	OnTargets func(list []rhubarbgate.Instance, requestedAt time.Time)
+	// OnQuarantine, if set, is called with each newer quarantine and the time as of which it is.
+	OnQuarantine func(q control.Quarantine, at time.Time)
 
 	mu                 sync.RWMutex
 	current            *config.Config
@@ -64,6 +66,8 @@
 	peers              control.Peers
 	targets            control.TargetList
 	targetsRequestedAt time.Time
+	quarantine         control.Quarantine // as of quarantineAt
+	quarantineAt       time.Time
 	needsFull          bool
 	notifier           Notifier
 }
@@ -121,7 +125,7 @@
 // poll polls one parent and reports whether to keep polling it.
 func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort) bool {
 	list, _ := w.Targets()
-	p := &control.Poll{Version: w.pollVersion(), Wait: pollHold, Targets: list.Digest}
+	p := &control.Poll{Version: w.pollVersion(), Wait: pollHold, Targets: list.Digest, Quarantine: w.Quarantine(w.Clock.Now()).Version}
 	if w.Groups() == 0 {
 		p.Wait = 0
 	}
@@ -162,6 +166,7 @@
 	// The reply left the parent no earlier than this.
 	repliedAt := sent.Add(r.Held)
 	targetsChanged := w.applyTargets(r.Targets, repliedAt)
+	quarantineChanged := w.applyQuarantine(r.Quarantine, repliedAt)
 	if len(r.Peers.Controls) > 0 {
 		w.peers = r.Peers
 		if w.OnPeers != nil {
@@ -177,7 +182,7 @@
 	if changed && w.OnApplied != nil {
 		w.OnApplied(w.current)
 	}
-	if changed || newNeeds || targetsChanged {
+	if changed || newNeeds || targetsChanged || quarantineChanged {
 		w.notifier.Notify()
 	}
 	return r.Age < maxParentAge
@@ -204,6 +209,26 @@
 	return changed
 }
 
+// applyQuarantine applies a quarantine that is newer than the current one, and reports whether
+// it was. The lock is held.
+func (w *Watcher) applyQuarantine(q *control.Quarantine, repliedAt time.Time) bool {
+	if q == nil || !q.Version.NewerThan(w.quarantine.Version) {
+		return false
+	}
+	w.quarantine, w.quarantineAt = *q, repliedAt
+	if w.OnQuarantine != nil {
+		w.OnQuarantine(*q, repliedAt)
+	}
+	return true
+}
+
+// Quarantine implements Source.
+func (w *Watcher) Quarantine(now time.Time) control.Quarantine {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.quarantine.Aged(now.Sub(w.quarantineAt))
+}
+
 // Targets implements Source.
 func (w *Watcher) Targets() (control.TargetList, time.Time) {
 	w.mu.RLock()
--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -1,10 +1,12 @@
-// Package crashes finds out which targets ended while they answered, and with which requests.
+// Package crashes finds out which targets ended while they answered and with which prompts, reports it to the control hosts, and keeps the parts of prompts that are blocked for it.
 package crashes
 
 import (
 	"context"
 	"expvar"
 	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -12,6 +14,8 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
 
 const (
@@ -21,6 +25,9 @@
 	// checkers is how many targets are checked concurrently. A target whose host does not
 	// reply occupies one until the timeout of the connection attempt.
 	checkers = 8
+	// soundAfter is how long a target must have answered a prompt for its end to count as an
+	// answer to the prompt, not against it.
+	soundAfter = 500 * time.Millisecond
 )
 
 // Break is a response that its target broke off.
@@ -38,29 +45,64 @@
 }
 
 // Recorder records broken responses, and checks whether the target has ended. Set the
-// exported fields before Run. A nil Recorder records nothing.
+// exported fields before Run. A nil Recorder records nothing and blocks nothing.
 type Recorder struct {
 	Targets *discovery.Table
-	Clock   clockwork.Clock
-	Logger  log.Interface
+	// Client calls the control hosts.
+	Client *control.Client
+	Clock  clockwork.Clock
+	Logger log.Interface
 	// Breaks counts the responses that targets broke off, Ended those whose target had ended,
 	// and Dropped those that were not checked because too many came at the same time.
 	Breaks, Ended, Dropped *expvar.Int
 
 	pending chan Break
+	wake    chan struct{} // there is something to report
+
+	mu           sync.RWMutex
+	answers      recentAnswers
+	newestAnswer time.Time
+	ends         []*end
+	version      control.QuarantineVersion
+	suspects     []string
+	blocks       map[string]block
+}
+
+// end is the end of a target that this process observed.
+type end struct {
+	target string
+	at     time.Time
+	parts  []string
+	// reportedTerm is the term of the leader that has it, 0 if none.
+	reportedTerm uint64
+}
+
+// block is a block in force.
+type block struct {
+	with  []string
+	until time.Time
+	// term is that of the leader that has the block.
+	term uint64
 }
 
 // NewRecorder returns a Recorder that publishes its counters in m.
-func NewRecorder(t *discovery.Table, clock clockwork.Clock, logger log.Interface, m *expvar.Map) *Recorder {
+func NewRecorder(t *discovery.Table, c *control.Client, clock clockwork.Clock, logger log.Interface, m *expvar.Map) *Recorder {
 	counter := func(name string) *expvar.Int {
 		v := new(expvar.Int)
 		m.Set(name, v)
 		return v
 	}
-	return &Recorder{
-		Targets: t, Clock: clock, Logger: logger, Breaks: counter("ResponsesBroken"), Ended: counter("ResponsesBrokenByEnd"), Dropped: counter("ResponsesBrokenUnchecked"),
-		pending: make(chan Break, maxPendingBreaks),
+	r := &Recorder{
+		Targets: t, Client: c, Clock: clock, Logger: logger,
+		Breaks: counter("ResponsesBroken"), Ended: counter("ResponsesBrokenByEnd"), Dropped: counter("ResponsesBrokenUnchecked"),
+		pending: make(chan Break, maxPendingBreaks), wake: make(chan struct{}, 1), blocks: map[string]block{},
 	}
+	m.Set("PartsBlocked", expvar.Func(func() any {
+		r.mu.RLock()
+		defer r.mu.RUnlock()
+		return len(r.blocks)
+	}))
+	return r
 }
 
 // RecordBreak records a response that its target broke off. It does not block.
@@ -76,12 +118,56 @@
 	}
 }
 
-// Run checks the targets of recorded breaks until ctx ends.
+// RecordAnswer records a complete answer to a prompt with the given parts.
+func (r *Recorder) RecordAnswer(parts []string) {
+	if r == nil || len(parts) == 0 {
+		return
+	}
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.newestAnswer = now
+	wanted := false
+	for _, p := range parts {
+		r.answers.add(p, now)
+		_, blocked := r.blocks[p]
+		wanted = wanted || blocked || slices.Contains(r.suspects, p)
+	}
+	if wanted {
+		r.signal()
+	}
+}
+
+// Blocked returns a part for which prompts with the given parts are blocked and how long the
+// block lasts, or false.
+func (r *Recorder) Blocked(parts []string) (part string, left time.Duration, blocked bool) {
+	if r == nil || len(parts) == 0 {
+		return "", 0, false
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if len(r.blocks) == 0 {
+		return "", 0, false
+	}
+	for _, p := range parts {
+		b, ok := r.blocks[p]
+		if !ok || slices.ContainsFunc(b.with, func(w string) bool { return !slices.Contains(parts, w) }) {
+			continue
+		}
+		if left := b.until.Sub(r.Clock.Now()); left > 0 {
+			return p, left, true
+		}
+	}
+	return "", 0, false
+}
+
+// Run checks the targets of recorded breaks and reports to the control hosts until ctx ends.
 func (r *Recorder) Run(ctx context.Context) {
 	var g conc.WaitGroup
 	for range checkers {
 		g.Go(func() { r.check(ctx) })
 	}
+	g.Go(func() { r.report(ctx) })
 	g.Wait()
 }
 
@@ -93,10 +179,11 @@
 			return
 		case b := <-r.pending:
 			ended := r.Targets.HasEnded(ctx, b.Target)
+			r.log(b, ended)
 			if ended {
 				r.Ended.Add(1)
+				r.recordEnd(b)
 			}
-			r.log(b, ended)
 		}
 	}
 }
@@ -110,3 +197,38 @@
 	maps.Copy(f, b.Fields)
 	r.Logger.WithFields(f).Info("target broke off a response")
 }
+
+// recordEnd records that the target of a break has ended.
+func (r *Recorder) recordEnd(b Break) {
+	if len(b.Parts) == 0 {
+		return
+	}
+	if b.Answering >= soundAfter {
+		r.RecordAnswer(b.Parts)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := b.Target.Name()
+	i := slices.IndexFunc(r.ends, func(e *end) bool { return e.target == name && b.At.Sub(e.at).Abs() < quarantine.SameCrashPeriod })
+	if i < 0 {
+		i = len(r.ends)
+		r.ends = append(r.ends, &end{target: name, at: b.At})
+	}
+	e := r.ends[i]
+	for _, p := range b.Parts {
+		if !slices.Contains(e.parts, p) {
+			e.parts = append(e.parts, p)
+			e.reportedTerm = 0
+		}
+	}
+	r.signal()
+}
+
+// signal makes report send what is new.
+func (r *Recorder) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/controller/crashes/recorder_test.go
+++ b/internal/controller/crashes/recorder_test.go
@@ -47,8 +47,8 @@
 			table := &discovery.Table{Clock: clock, Logger: logger}
 			instance := rhubarbgate.Instance{ID: "i", Service: "lm", Address: netip.MustParseAddrPort(test.address.String())}
 			table.Update([]rhubarbgate.Instance{instance}, clock.Now())
-			r := NewRecorder(table, clock, logger, new(expvar.Map).Init())
-			r.RecordBreak(Break{Target: table.Target(instance), Parts: []string{"a", "b"}, Answering: time.Second, Fields: log.Fields{"request": "r1"}})
+			r := NewRecorder(table, nil, clock, logger, new(expvar.Map).Init())
+			r.RecordBreak(Break{Target: table.Target(instance), Parts: []string{"a", "b"}, Answering: time.Second, At: clock.Now(), Fields: log.Fields{"request": "r1"}})
 			ctx, stop := context.WithCancel(context.Background())
 			stopped := make(chan struct{})
 			go func() {
--- /dev/null
+++ b/internal/controller/crashes/report.go
@@ -0,0 +1,166 @@
+package crashes
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+)
+
+const (
+	// reportDelay is the time for which further observations are collected into a report.
+	reportDelay = 20 * time.Millisecond
+	// reportTimeout bounds one report, including the search for the leader.
+	reportTimeout = time.Second
+	// reportRetryInterval is the time after which a failed report is sent again.
+	reportRetryInterval = 100 * time.Millisecond
+	// maxEnds bounds the ends of targets that are kept.
+	maxEnds = 128
+	// answersGenerationSize and answersGenerationTime bound each of the two generations of
+	// recentAnswers. The time exceeds that for which answers matter to the control hosts.
+	answersGenerationSize = 4096
+	answersGenerationTime = 30 * time.Second
+)
+
+// recentAnswers holds when parts of prompts were last answered. It forgets old ones.
+type recentAnswers struct {
+	recent, older map[string]time.Time
+	since         time.Time // when recent began
+}
+
+// add records an answer.
+func (a *recentAnswers) add(part string, now time.Time) {
+	if a.recent == nil || len(a.recent) >= answersGenerationSize || now.Sub(a.since) >= answersGenerationTime {
+		a.recent, a.older, a.since = map[string]time.Time{}, a.recent, now
+	}
+	a.recent[part] = now
+}
+
+// newest returns when a part was last answered.
+func (a *recentAnswers) newest(part string) (time.Time, bool) {
+	if at, ok := a.recent[part]; ok {
+		return at, true
+	}
+	at, ok := a.older[part]
+	return at, ok
+}
+
+// Update applies a quarantine of the control hosts, as of the given time. It ignores all but
+// newer ones. A block of an earlier leader stays until the current one has it or releases it.
+func (r *Recorder) Update(q control.Quarantine, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !q.Version.NewerThan(r.version) {
+		return
+	}
+	now := r.Clock.Now()
+	r.version, r.suspects = q.Version, q.Suspects
+	before := maps.Clone(r.blocks)
+	maps.DeleteFunc(r.blocks, func(_ string, b block) bool { return b.term >= q.Version.Term || !now.Before(b.until) })
+	for _, b := range q.Blocks {
+		r.blocks[b.Part] = block{with: b.With, until: at.Add(b.Left), term: q.Version.Term}
+	}
+	for p := range r.blocks {
+		if _, ok := before[p]; !ok {
+			r.Logger.WithField("part", p).WithField("with", r.blocks[p].with).Info("part of prompts blocked")
+		}
+	}
+	for p := range before {
+		if _, ok := r.blocks[p]; !ok {
+			r.Logger.WithField("part", p).Info("part of prompts no longer blocked")
+		}
+	}
+	r.signal()
+}
+
+// report reports observations to the leader of the fleet group when there are new ones.
+func (r *Recorder) report(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		r.Clock.Sleep(reportDelay)
+		for !r.reportOnce(ctx) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.Clock.After(reportRetryInterval):
+			}
+		}
+	}
+}
+
+// reportOnce sends one report if there is anything to report, and returns false if the leader
+// did not receive it.
+func (r *Recorder) reportOnce(ctx context.Context) bool {
+	in, ends := r.buildReport()
+	if in == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reply, err := r.Client.Crashes(ctx, in)
+	if err != nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, e := range ends {
+		// Parts that came while the report was under way are still to be reported.
+		if len(e.parts) == len(in.Report.Crashes[i].Parts) {
+			e.reportedTerm = reply.Term
+		}
+	}
+	for _, p := range reply.Released {
+		if b, ok := r.blocks[p]; ok && b.term < reply.Term {
+			delete(r.blocks, p)
+			r.Logger.WithField("part", p).Info("part of prompts no longer blocked")
+		}
+	}
+	return true
+}
+
+// buildReport returns a report of what the current leader lacks and the ends in it, in the order
+// of its crashes, or nil if there is nothing to report.
+func (r *Recorder) buildReport() (*control.Crashes, []*end) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	r.ends = slices.DeleteFunc(r.ends, func(e *end) bool { return now.Sub(e.at) >= quarantine.CrashTTL })
+	r.ends = slices.Delete(r.ends, 0, max(0, len(r.ends)-maxEnds))
+	in := &control.Crashes{}
+	var ends []*end
+	wanted := slices.Clone(r.suspects)
+	for _, e := range r.ends {
+		if e.reportedTerm != 0 && e.reportedTerm >= r.version.Term {
+			continue
+		}
+		ends = append(ends, e)
+		in.Report.Crashes = append(in.Report.Crashes, quarantine.Crash{Target: e.target, Age: now.Sub(e.at), Parts: slices.Clone(e.parts)})
+		wanted = append(wanted, e.parts...)
+	}
+	for p, b := range r.blocks {
+		wanted = append(wanted, p)
+		if left := b.until.Sub(now); b.term < r.version.Term && left > 0 {
+			in.Report.Blocks = append(in.Report.Blocks, quarantine.Block{Part: p, With: b.with, Left: left})
+		}
+	}
+	slices.Sort(wanted)
+	for _, p := range slices.Compact(wanted) {
+		if at, ok := r.answers.newest(p); ok {
+			in.Report.Answers = append(in.Report.Answers, quarantine.Answer{Part: p, Age: now.Sub(at)})
+		}
+	}
+	if len(wanted) == 0 {
+		return nil, nil
+	}
+	if in.Report.Answered = !r.newestAnswer.IsZero(); in.Report.Answered {
+		in.Report.AnsweredAge = now.Sub(r.newestAnswer)
+	}
+	return in, ends
+}
--- /dev/null
+++ b/internal/controller/crashes/report_test.go
@@ -0,0 +1,166 @@
+package crashes
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+)
+
+// newTestRecorder returns a Recorder and what its leader, whose term is in term, received.
+func newTestRecorder(t *testing.T, term *atomic.Uint64, released []string) (*Recorder, chan quarantine.Report) {
+	received := make(chan quarantine.Report, 16)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	mux := wire.NewMux()
+	wire.Unary(mux, control.MethodCrashes, wire.Daemons, func(_ context.Context, in *control.Crashes) (*control.CrashesReply, error) {
+		received <- in.Report
+		return &control.CrashesReply{Term: term.Load(), Released: released}, nil
+	})
+	go func() { _ = mux.Serve(ctx, l) }()
+	clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.New()}
+	client := &control.Client{Wire: wire.NewClient(nil), Hosts: []netip.AddrPort{l.Addr().(*net.TCPAddr).AddrPort()}, Clock: clock}
+	return NewRecorder(&discovery.Table{Clock: clock, Logger: logger}, client, clock, logger, new(expvar.Map).Init()), received
+}
+
+// endedTarget returns a target that is down.
+func endedTarget(t *testing.T, r *Recorder) *discovery.Target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l.Close()
+	i := rhubarbgate.Instance{ID: "i", Service: "lm", Address: l.Addr().(*net.TCPAddr).AddrPort()}
+	r.Targets.Update([]rhubarbgate.Instance{i}, r.Clock.Now())
+	return r.Targets.Target(i)
+}
+
+// TestNewLeaderGetsWhatTheLastOneKnew guards against losing the ends of targets, or the blocks,
+// when another control host becomes the leader.
+func TestNewLeaderGetsWhatTheLastOneKnew(t *testing.T) {
+	var term atomic.Uint64
+	term.Store(1)
+	r, received := newTestRecorder(t, &term, nil)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go r.Run(ctx)
+	r.RecordAnswer([]string{"common"})
+	r.RecordBreak(Break{Target: endedTarget(t, r), Parts: []string{"common", "bad"}, At: r.Clock.Now()})
+	first := <-received
+	qt.Assert(t, first.Crashes, qt.HasLen, 1)
+	qt.Assert(t, first.Crashes[0].Parts, qt.DeepEquals, []string{"common", "bad"})
+	qt.Assert(t, first.Answers, qt.HasLen, 1)
+	qt.Assert(t, first.Answers[0].Part, qt.Equals, "common")
+	qt.Assert(t, first.Answered, qt.IsTrue)
+
+	now := r.Clock.Now()
+	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, now)
+	second := <-received
+	qt.Assert(t, second.Crashes, qt.HasLen, 0, qt.Commentf("the leader has them"))
+	qt.Assert(t, second.Blocks, qt.HasLen, 0)
+
+	term.Store(2)
+	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 2}}, now)
+	_, _, blocked := r.Blocked([]string{"bad"})
+	qt.Assert(t, blocked, qt.IsTrue)
+	third := <-received
+	qt.Assert(t, third.Crashes, qt.HasLen, 1)
+	qt.Assert(t, third.Blocks, qt.HasLen, 1)
+	qt.Assert(t, third.Blocks[0].Part, qt.Equals, "bad")
+}
+
+// TestBlockedPrompts guards against blocking prompts for good, or those that lack a part without
+// which no target ended.
+func TestBlockedPrompts(t *testing.T) {
+	bad := quarantine.Block{Part: "bad", Left: time.Minute}
+	badWithRare := quarantine.Block{Part: "bad", With: []string{"rare"}, Left: time.Minute}
+	version := func(term, number uint64) control.QuarantineVersion {
+		return control.QuarantineVersion{Term: term, Number: number}
+	}
+	tests := []struct {
+		name    string
+		updates []control.Quarantine
+		parts   []string
+		later   time.Duration
+		want    bool
+	}{
+		{"none", nil, []string{"bad"}, 0, false},
+		{"blocked", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"a", "bad"}, 0, true},
+		{"other prompt", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"a"}, 0, false},
+		{"without the part that came with it", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{badWithRare}}}, []string{"a", "bad"}, 0, false},
+		{"with the part that came with it", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{badWithRare}}}, []string{"rare", "bad"}, 0, true},
+		{"over", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"bad"}, time.Minute, false},
+		{"released", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(1, 2)}}, []string{"bad"}, 0, false},
+		{"older quarantine", []control.Quarantine{{Version: version(1, 2), Blocks: []quarantine.Block{bad}}, {Version: version(1, 1)}}, []string{"bad"}, 0, true},
+		{"new leader without it", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(2, 0)}}, []string{"bad"}, 0, true},
+		{"new leader took it over and released it", []control.Quarantine{
+			{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(2, 1), Blocks: []quarantine.Block{bad}}, {Version: version(2, 2)},
+		}, []string{"bad"}, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			r := NewRecorder(nil, nil, clock, &log.Logger{Handler: discard.New()}, new(expvar.Map).Init())
+			for _, q := range test.updates {
+				r.Update(q, clock.Now())
+			}
+			clock.Advance(test.later)
+			_, left, blocked := r.Blocked(test.parts)
+			qt.Assert(t, blocked, qt.Equals, test.want)
+			qt.Assert(t, left > 0, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestReleasedByNewLeader guards against a block that outlives an answer which only the new
+// leader knows of.
+func TestReleasedByNewLeader(t *testing.T) {
+	var term atomic.Uint64
+	term.Store(2)
+	r, received := newTestRecorder(t, &term, []string{"bad"})
+	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, r.Clock.Now())
+	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 2}}, r.Clock.Now())
+	_, _, blocked := r.Blocked([]string{"bad"})
+	qt.Assert(t, blocked, qt.IsTrue)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go r.Run(ctx)
+	qt.Assert(t, (<-received).Blocks, qt.HasLen, 1)
+	for {
+		if _, _, blocked := r.Blocked([]string{"bad"}); !blocked {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestAnswersAreBounded guards against memory that grows with the parts that were answered.
+func TestAnswersAreBounded(t *testing.T) {
+	var a recentAnswers
+	now := time.Now()
+	for i := range 5 * answersGenerationSize {
+		a.add(string(rune(i)), now)
+	}
+	qt.Assert(t, len(a.recent)+len(a.older) <= 2*answersGenerationSize, qt.IsTrue)
+	a.add("x", now)
+	_, ok := a.newest("x")
+	qt.Assert(t, ok, qt.IsTrue)
+	a.add("y", now.Add(answersGenerationTime))
+	a.add("z", now.Add(2*answersGenerationTime))
+	_, ok = a.newest("x")
+	qt.Assert(t, ok, qt.IsFalse)
+}
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -224,6 +224,9 @@
 	t.Logger.WithFields(log.Fields{"target": x.Instance.ID, "address": x.Instance.Address.String()}).Info("target announced that it leaves")
 }
 
+// Name identifies the target among all, as one instance at one address.
+func (x *Target) Name() string { return x.name }
+
 // RecordLeavingAt is RecordLeaving for the listed instance with the given ID and address.
 func (t *Table) RecordLeavingAt(id string, address netip.AddrPort) {
 	t.mu.RLock()
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -174,6 +174,29 @@
 	return time.Duration(s.Random.Int64N(int64(limit)))
 }
 
+// quarantineFilter refuses requests whose prompts are blocked. It comes before rateFilter, so that
+// they take no tokens from the sound requests of their workspace.
+type quarantineFilter struct{ server *Server }
+
+// Handle implements Filter.
+func (f *quarantineFilter) Handle(x *Exchange, next Handler) error {
+	if err := f.server.checkBlocked(x); err != nil {
+		f.server.Counts.Quarantined.Add(1)
+		return err
+	}
+	return next(x)
+}
+
+// checkBlocked returns an error if no target may get the request, because targets ended with a
+// part of its prompt.
+func (s *Server) checkBlocked(x *Exchange) *rhubarbgate.Error {
+	part, left, blocked := s.Crashes.Blocked(x.Call.SharedParts())
+	if !blocked {
+		return nil
+	}
+	return notRun(rhubarbgate.CodeUnavailable, "targets end when they answer prompts with the part %s", part).WithRetryAfter(left)
+}
+
 // rateFilter takes a token of the workspace's rate limit, and waits for it briefly. A
 // submitted batch job and a request of an unlimited workspace or of none need no token.
 type rateFilter struct{ server *Server }
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -105,7 +105,7 @@
 // from the retry budget unless the request did not run.
 func (s *Server) shouldRetry(q *forwardedRequest, last *rhubarbgate.Error) bool {
 	x := q.x
-	if !s.Clock.Now().Before(x.Deadline) || x.Context.Err() != nil || last.Code == rhubarbgate.CodeOverloaded {
+	if !s.Clock.Now().Before(x.Deadline) || x.Context.Err() != nil || last.Code == rhubarbgate.CodeOverloaded || s.checkBlocked(x) != nil {
 		return false
 	}
 	switch {
@@ -162,6 +162,9 @@
 	if err := s.confirmKey(x); n > 1 && err != nil {
 		return nil, err
 	}
+	if err := s.checkBlocked(x); err != nil {
+		return nil, err
+	}
 	now := s.Clock.Now()
 	remaining := x.Deadline.Sub(now)
 	if remaining <= 0 {
@@ -295,6 +298,7 @@
 		a.x.HTTP.Response.SetBodyStream(&longBody{attempt: a, buffered: body, remaining: maxResponseBytes - len(body)}, -1)
 		return nil
 	}
+	a.recordAnswer()
 	a.finish(failed)
 	a.x.HTTP.Response.SetBodyRaw(body)
 	return nil
@@ -311,6 +315,13 @@
 	}
 }
 
+// recordAnswer records that the target answered the request completely.
+func (a *attempt) recordAnswer() {
+	if a.response.Status == fasthttp.StatusOK {
+		a.server.Crashes.RecordAnswer(a.x.Call.SharedParts())
+	}
+}
+
 // recordBreak records that the target broke off the response with the error e.
 func (a *attempt) recordBreak(e *rhubarbgate.Error) {
 	if e.Code != rhubarbgate.CodeUpstream {
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -24,10 +24,12 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
@@ -49,6 +51,8 @@
 	targets []*platformtest.Target
 	list    *platformtest.List
 	limits  *rhubarbgate.CallerLimits
+	// prompt is the value of X-Prompt-Prefix in the requests that send sends.
+	prompt string
 
 	mu sync.Mutex
 	// failingDials holds for each address how many of the next connections fail.
@@ -145,6 +149,9 @@
 	q.Header.Set("X-Request-Id", id)
 	q.Header.Set("X-Deadline-Ms", "4000")
 	q.Header.Set("X-Tenant", "forged")
+	if e.prompt != "" {
+		q.Header.Set("X-Prompt-Prefix", e.prompt)
+	}
 	if key != "" {
 		q.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -602,3 +609,34 @@
 		})
 	}
 }
+
+// TestBlockedPromptsAreRefusedAtOnce guards against sending prompts that end targets, against
+// spending their workspace's tokens on them, and against refusing them without a time to return.
+func TestBlockedPromptsAreRefusedAtOnce(t *testing.T) {
+	e := newEntry(t, &platformtest.Target{})
+	e.server.Crashes = crashes.NewRecorder(e.server.Targets, nil, e.server.Clock, e.server.Logger, new(expvar.Map).Init())
+	e.server.Crashes.Update(control.Quarantine{
+		Version: control.QuarantineVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}},
+	}, e.server.Clock.Now())
+	tests := []struct {
+		name, prompt string
+		want         int
+	}{
+		{"blocked part", "a:1,bad:1,own:1", http.StatusServiceUnavailable},
+		{"other parts", "a:1,b:1,own:1", http.StatusOK},
+		{"part of its own", "a:1,bad:1", http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e.prompt = test.prompt
+			status, body, err := e.send(context.Background(), "safe", test.name, secret)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, status, qt.Equals, test.want, qt.Commentf("%s", body))
+			qt.Assert(t, len(e.runs(test.name)) == 1, qt.Equals, test.want == http.StatusOK)
+		})
+	}
+	qt.Assert(t, e.server.Counts.Quarantined.Value(), qt.Equals, int64(1))
+	refusal := e.server.checkBlocked(&Exchange{Call: rhubarbgate.Call{PromptParts: []string{"bad", "own"}}})
+	qt.Assert(t, refusal.Verdict, qt.Equals, rhubarbgate.NotRun)
+	qt.Assert(t, refusal.RetryAfter > 50*time.Second, qt.IsTrue)
+}
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -45,7 +45,8 @@
 	// Holder spends this entry's rate-limit grants.
 	Holder  *limit.Holder
 	Targets *discovery.Table
-	// Crashes, if set, records responses that targets break off.
+	// Crashes, if set, records responses and those that targets break off, and blocks prompts
+	// with which targets end.
 	Crashes *crashes.Recorder
 	// Stores calls the store hosts, which keep the batch jobs.
 	Stores *control.Client
@@ -73,10 +74,10 @@
 
 // Counters are the expvar counters of a Server: requests received and refused, retries,
 // streams resumed at another target, responses that were truncated or that belong to
-// another request, requests that targets refused, callers that disconnected, and requests
-// whose handling panicked.
+// another request, requests that targets refused, callers that disconnected, requests
+// whose handling panicked, and requests whose prompts are blocked.
 type Counters struct {
-	Requests, Refused, Retries, Resumed, TruncatedResponses, MismatchedResponses, TargetRefusals, DisconnectedCallers, Panics *expvar.Int
+	Requests, Refused, Retries, Resumed, TruncatedResponses, MismatchedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined *expvar.Int
 }
 
 // NewCounters creates the counters and publishes them in m.
@@ -89,14 +90,14 @@
 	return &Counters{
 		Requests: counter("Requests"), Refused: counter("Refused"), Retries: counter("Retries"), Resumed: counter("Resumed"), TruncatedResponses: counter("AnswersCut"),
 		MismatchedResponses: counter("AnswersOfOthers"), TargetRefusals: counter("TargetsRefused"), DisconnectedCallers: counter("CallersLeft"),
-		Panics: counter("Panics"),
+		Panics: counter("Panics"), Quarantined: counter("RequestsQuarantined"),
 	}
 }
 
 // Prepare builds the filter chain and the HTTP servers. Call it once, before Serve.
 func (s *Server) Prepare() {
 	s.startedAt = s.Clock.Now()
-	s.handle = chain(s.serve, &routeFilter{server: s}, &keyFilter{server: s}, &rateFilter{server: s})
+	s.handle = chain(s.serve, &routeFilter{server: s}, &keyFilter{server: s}, &quarantineFilter{server: s}, &rateFilter{server: s})
 	s.http = &fasthttp.Server{
 		Handler: s.serveHTTP, Name: "rhubarbgate", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -65,6 +65,7 @@
 			continue
 		}
 		if err == io.EOF {
+			r.recordAnswer()
 			r.finish(false)
 			return 0, io.EOF
 		}
@@ -153,6 +154,7 @@
 	case l.remaining < 0:
 		err = errors.Errorf("the response has more than %d bytes", maxResponseBytes)
 	case err == io.EOF:
+		l.recordAnswer()
 		l.finish(false)
 		return n, io.EOF
 	}
--- /dev/null
+++ b/internal/policy/quarantine/table.go
@@ -0,0 +1,247 @@
+// Package quarantine decides which parts of prompts are kept from the targets because targets end when they answer them.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// minCrashes is how many targets must have ended, with no answer to the part in between,
+	// before the part is suspected. Fewer happen by chance when targets end for other reasons.
+	minCrashes = 3
+	// answerMargin is how long after an answer to a part the end of a target counts against
+	// the part: an answer and an end that are closer may have been in flight together.
+	answerMargin = 2 * time.Second
+	// objectionPeriod is how long a part is suspected before it is blocked. It covers the way
+	// to all daemons and back, which report their answers to the part.
+	objectionPeriod = 800 * time.Millisecond
+	// blockTime is how long after the last end of a target a part stays blocked.
+	blockTime = 5 * time.Minute
+	// CrashTTL is how long an end of a target counts. It exceeds blockTime, so that the first
+	// end after a block blocks the part again at once.
+	CrashTTL = 2 * blockTime
+	// SameCrashPeriod is the time within which reports about one target describe one end. A
+	// target may keep its name when it restarts, but it takes longer.
+	SameCrashPeriod = time.Second
+	// maxCrashes and maxCrashParts bound the memory for ends of targets and for the parts of
+	// each; the oldest ends and further parts are dropped.
+	maxCrashes    = 256
+	maxCrashParts = 64
+)
+
+// Crash is the end of a target while it had requests.
+type Crash struct {
+	Target string
+	// Age is how long ago the target ended.
+	Age time.Duration
+	// Parts are the parts of the prompts that the target had not answered yet, or had just
+	// begun to answer.
+	Parts []string
+}
+
+// Answer says how long ago a target last answered a prompt with a part.
+type Answer struct {
+	Part string
+	Age  time.Duration
+}
+
+// Block keeps requests from the targets whose prompts have the part and all the parts in With.
+type Block struct {
+	Part string
+	// With are the parts that were present at each end of a target that counts against Part.
+	// Any of them may be the cause, so a prompt without one of them is still sent.
+	With []string `msgpack:",omitempty"`
+	// Left is how long the block lasts.
+	Left time.Duration
+}
+
+// Report is what one daemon observed.
+type Report struct {
+	Crashes []Crash
+	Answers []Answer
+	// Answered says that the daemon got an answer to any prompt, AnsweredAge how long ago the
+	// newest was.
+	Answered    bool
+	AnsweredAge time.Duration
+	// Blocks are blocks that the daemon received from an earlier Table.
+	Blocks []Block
+}
+
+// crash is the end of a target, merged from all reports.
+type crash struct {
+	target string
+	at     time.Time
+	parts  map[string]bool
+}
+
+// adoptedBlock is a block of an earlier Table.
+type adoptedBlock struct {
+	with         []string
+	since, until time.Time
+}
+
+// Table merges the reports of all daemons. It is safe for concurrent use.
+type Table struct {
+	Clock clockwork.Clock
+
+	mu      sync.Mutex
+	crashes []*crash // by the time of their report
+	// answers holds the time of the newest answer to each part at a crash.
+	answers      map[string]time.Time
+	newestAnswer time.Time
+	suspected    map[string]time.Time // since when
+	adopted      map[string]adoptedBlock
+}
+
+// Add merges a report, and returns the parts of its Blocks that are not blocked any more because
+// they were answered.
+func (t *Table) Add(r *Report) (released []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.answers == nil {
+		t.answers, t.suspected, t.adopted = map[string]time.Time{}, map[string]time.Time{}, map[string]adoptedBlock{}
+	}
+	now := t.Clock.Now()
+	for _, c := range r.Crashes {
+		t.addCrash(c, now.Add(-c.Age))
+	}
+	for _, a := range r.Answers {
+		if at := now.Add(-a.Age); at.After(t.answers[a.Part]) {
+			t.answers[a.Part] = at
+		}
+	}
+	if at := now.Add(-r.AnsweredAge); r.Answered && at.After(t.newestAnswer) {
+		t.newestAnswer = at
+	}
+	for _, b := range r.Blocks {
+		if _, ok := t.adopted[b.Part]; !ok {
+			t.adopted[b.Part] = adoptedBlock{with: b.With, since: now, until: now.Add(b.Left)}
+		}
+	}
+	t.update(now)
+	for _, b := range r.Blocks {
+		if _, ok := t.adopted[b.Part]; !ok {
+			released = append(released, b.Part)
+		}
+	}
+	return released
+}
+
+// addCrash adds the end of a target, or parts to one that is known. The lock is held.
+func (t *Table) addCrash(c Crash, at time.Time) {
+	i := slices.IndexFunc(t.crashes, func(x *crash) bool {
+		return x.target == c.Target && x.at.Sub(at).Abs() < SameCrashPeriod
+	})
+	if i < 0 {
+		i = len(t.crashes)
+		t.crashes = append(t.crashes, &crash{target: c.Target, at: at, parts: map[string]bool{}})
+	}
+	for _, p := range c.Parts {
+		if len(t.crashes[i].parts) < maxCrashParts {
+			t.crashes[i].parts[p] = true
+		}
+	}
+}
+
+// update drops what has expired and finds the parts to suspect. The lock is held.
+func (t *Table) update(now time.Time) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) >= CrashTTL })
+	t.crashes = slices.Delete(t.crashes, 0, max(0, len(t.crashes)-maxCrashes))
+	maps.DeleteFunc(t.adopted, func(p string, b adoptedBlock) bool { return !now.Before(b.until) || t.answers[p].After(b.since) })
+	crashes := map[string]int{} // by part
+	for _, c := range t.crashes {
+		for p := range c.parts {
+			crashes[p]++
+		}
+	}
+	maps.DeleteFunc(t.answers, func(p string, _ time.Time) bool {
+		_, adopted := t.adopted[p]
+		return crashes[p] == 0 && !adopted
+	})
+	maps.DeleteFunc(t.suspected, func(p string, _ time.Time) bool { return crashes[p] < minCrashes || !t.isSuspect(p) })
+	for p, n := range crashes {
+		if n >= minCrashes && t.suspected[p].IsZero() && t.isSuspect(p) {
+			t.suspected[p] = now
+		}
+	}
+}
+
+// counted returns the ends of targets that count against a part: it was present, and was not
+// answered since shortly before. The lock is held.
+func (t *Table) counted(part string) []*crash {
+	var r []*crash
+	answered := t.answers[part]
+	for _, c := range t.crashes {
+		if c.parts[part] && c.at.After(answered.Add(answerMargin)) {
+			r = append(r, c)
+		}
+	}
+	return r
+}
+
+// isSuspect reports whether targets that had the part ended one after the other while others
+// answered. If none answers anything, the cause is not in the prompts. The lock is held.
+func (t *Table) isSuspect(part string) bool {
+	c := t.counted(part)
+	return len(c) >= minCrashes && slices.ContainsFunc(c, func(x *crash) bool { return t.newestAnswer.After(x.at) })
+}
+
+// Suspects returns the parts that are suspected, in order.
+func (t *Table) Suspects() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(t.Clock.Now())
+	return slices.Sorted(maps.Keys(t.suspected))
+}
+
+// Blocks returns the blocks in force, ordered by part.
+func (t *Table) Blocks() []Block {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	t.update(now)
+	var r []Block
+	for p, since := range t.suspected {
+		c := t.counted(p)
+		if until := newest(c).Add(blockTime); now.Sub(since) >= objectionPeriod && now.Before(until) {
+			r = append(r, Block{Part: p, With: t.presentAtAll(c, p), Left: until.Sub(now)})
+		}
+	}
+	for p, b := range t.adopted {
+		if !slices.ContainsFunc(r, func(x Block) bool { return x.Part == p }) {
+			r = append(r, Block{Part: p, With: b.with, Left: b.until.Sub(now)})
+		}
+	}
+	slices.SortFunc(r, func(a, b Block) int { return cmp.Compare(a.Part, b.Part) })
+	return r
+}
+
+// presentAtAll returns the suspected parts other than part that were present at all the ends c
+// of targets, in order. The lock is held.
+func (t *Table) presentAtAll(c []*crash, part string) []string {
+	var r []string
+	for p := range t.suspected {
+		if p != part && !slices.ContainsFunc(c, func(x *crash) bool { return !x.parts[p] || !x.at.After(t.answers[p].Add(answerMargin)) }) {
+			r = append(r, p)
+		}
+	}
+	slices.Sort(r)
+	return r
+}
+
+// newest returns the time of the last of the ends of targets.
+func newest(c []*crash) time.Time {
+	var at time.Time
+	for _, x := range c {
+		if x.at.After(at) {
+			at = x.at
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/policy/quarantine/table_test.go
@@ -0,0 +1,121 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+)
+
+// event is a report at a time after the start.
+type event struct {
+	at     time.Duration
+	report Report
+}
+
+// ended returns a report of the end of a target with requests that have these parts.
+func ended(target string, parts ...string) Report {
+	return Report{Crashes: []Crash{{Target: target, Parts: parts}}}
+}
+
+// answered returns a report of answers to prompts that have these parts.
+func answered(parts ...string) Report {
+	r := Report{Answered: true}
+	for _, p := range parts {
+		r.Answers = append(r.Answers, Answer{Part: p})
+	}
+	return r
+}
+
+// endedAfter is like ended, with an answer to each of the parts some time before.
+func endedAfter(answer time.Duration, target string, parts ...string) Report {
+	r := ended(target, parts...)
+	for _, p := range parts {
+		r.Answers = append(r.Answers, Answer{Part: p, Age: answer})
+	}
+	return r
+}
+
+// TestBlocks guards against parts that end one target after the other and are never blocked, and
+// against blocking a part because targets end for another reason.
+func TestBlocks(t *testing.T) {
+	const second, ms = time.Second, time.Millisecond
+	threeEnds := []event{{0, ended("t1", "a", "bad")}, {100 * ms, ended("t2", "b", "bad")}, {200 * ms, ended("t3", "a", "bad")}}
+	others := event{300 * ms, answered("a", "b")}
+	tests := []struct {
+		name   string
+		events []event
+		at     time.Duration
+		want   map[string][]string // With by Part
+	}{
+		{"three targets, others answer", append(threeEnds, others), 1200 * ms, map[string][]string{"bad": nil}},
+		{"before the objection period ends", append(threeEnds, others), 900 * ms, nil},
+		{"two targets", append(threeEnds[:2:2], others), 3 * second, nil},
+		{"answered meanwhile", append(threeEnds, event{400 * ms, answered("bad")}), 3 * second, nil},
+		{"answered after the block", append(threeEnds, others, event{2 * second, answered("bad")}), 3 * second, nil},
+		{"answered shortly before the first end", []event{{0, endedAfter(second, "t1", "bad")}, {100 * ms, ended("t2", "bad")}, {200 * ms, ended("t3", "bad")}, others}, 3 * second, nil},
+		{"answered long before", []event{{0, endedAfter(5*second, "t1", "bad")}, {100 * ms, ended("t2", "bad")}, {200 * ms, ended("t3", "bad")}, others}, 3 * second, map[string][]string{"bad": nil}},
+		{"no target answers anything", threeEnds, 3 * second, nil},
+		{"all targets end together, the part was answered until then", []event{
+			{0, endedAfter(300*ms, "t1", "a")}, {0, ended("t2", "a")}, {0, ended("t3", "a")}, {0, ended("t4", "a")}, {300 * ms, answered("c")},
+		}, 3 * second, nil},
+		{"several reports of each end", []event{{0, ended("t1", "bad")}, {10 * ms, ended("t1", "bad")}, {20 * ms, ended("t1", "bad")}, {100 * ms, ended("t2", "bad")}, others}, 3 * second, nil},
+		{"target that restarts under its name", []event{{0, ended("t", "bad")}, {3 * second, ended("t", "bad")}, {6 * second, ended("t", "bad")}, {7 * second, answered("a")}}, 9 * second, map[string][]string{"bad": nil}},
+		{"part that comes with the cause each time", []event{
+			{0, ended("t1", "rare", "bad")}, {100 * ms, ended("t2", "rare", "bad")}, {200 * ms, ended("t3", "rare", "bad")}, others,
+		}, 3 * second, map[string][]string{"bad": {"rare"}, "rare": {"bad"}}},
+		{"part that comes with the cause mostly", []event{
+			{0, ended("t1", "rare", "bad")}, {100 * ms, ended("t2", "rare", "bad")}, {200 * ms, ended("t3", "rare", "bad")}, {250 * ms, ended("t4", "bad")}, others,
+		}, 3 * second, map[string][]string{"bad": nil, "rare": {"bad"}}},
+		{"over after the block's time", append(threeEnds, others), blockTime + second, nil},
+		{"another end after the block's time", append(threeEnds, others, event{2 * second, Report{}}, event{blockTime + second, ended("t9", "bad")}), blockTime + 2*second, map[string][]string{"bad": nil}},
+		{"blocks of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: "bad", With: []string{"x"}, Left: time.Minute}}}}}, second, map[string][]string{"bad": {"x"}}},
+		{"over, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: "bad", Left: time.Minute}}}}}, 2 * time.Minute, nil},
+		{"answered, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: "bad", Left: time.Minute}}}}, {second, answered("bad")}}, 2 * second, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			start := clock.Now()
+			table := &Table{Clock: clock}
+			for _, e := range test.events {
+				clock.Advance(e.at - clock.Since(start))
+				table.Add(&e.report)
+				table.Suspects()
+			}
+			clock.Advance(test.at - clock.Since(start))
+			got := map[string][]string{}
+			for _, b := range table.Blocks() {
+				qt.Check(t, b.Left > 0, qt.IsTrue)
+				got[b.Part] = b.With
+			}
+			if test.want == nil {
+				test.want = map[string][]string{}
+			}
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestTableIsBounded guards against memory that grows with the ends of targets.
+func TestTableIsBounded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := &Table{Clock: clock}
+	for i := range 2 * maxCrashes {
+		var parts []string
+		for j := range 2 * maxCrashParts {
+			parts = append(parts, fmt.Sprintf("%d-%d", i, j))
+		}
+		r := ended(fmt.Sprint(i), parts...)
+		table.addCrash(r.Crashes[0], clock.Now())
+	}
+	table.Add(&Report{})
+	qt.Assert(t, table.crashes, qt.HasLen, maxCrashes)
+	qt.Assert(t, table.crashes[0].parts, qt.HasLen, maxCrashParts)
+	clock.Advance(CrashTTL)
+	table.Add(&Report{})
+	qt.Assert(t, table.crashes, qt.HasLen, 0)
+	qt.Assert(t, table.answers, qt.HasLen, 0)
+}
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -96,10 +96,10 @@
 	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
 	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
 	table := d.table()
-	recorder := crashes.NewRecorder(table, d.Clock, d.Logger, d.Metrics)
+	recorder := crashes.NewRecorder(table, controls, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
-		OnTargets: table.Update,
-		Wire:      d.Wire, Parents: d.Control, Clock: d.Clock, Random: derivedRandom(d.Random, 1), Logger: d.Logger,
+		OnTargets: table.Update, OnQuarantine: recorder.Update,
+		Wire: d.Wire, Parents: d.Control, Clock: d.Clock, Random: derivedRandom(d.Random, 1), Logger: d.Logger,
 		Failures: newCounter(d.Metrics, "ConfigPollFailures"),
 		OnPeers: func(p control.Peers) {
 			controls.SetHosts(p.Controls)
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -133,6 +133,7 @@
 	roster        roster
 	fleet         *fleet.Machine // nil on store hosts
 	targets       atomic.Pointer[timedTargetList]
+	quarantine    quarantineState
 	groups        []*raft.Group // by group ID; the fleet group is nil on store hosts
 	jobGroups     []*leadership // by group ID - 1
 	transport     *peer.Transport
@@ -365,6 +366,7 @@
 			l.tick(h)
 		}
 		h.updateBacklog()
+		h.updateQuarantine()
 		h.planMembers()
 	}
 }
--- /dev/null
+++ b/internal/role/replica/quarantine.go
@@ -0,0 +1,128 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+)
+
+// quarantineState is the quarantine as this control host knows it. It is not replicated: daemons
+// report again what they know to a new leader, and keep their blocks until that one has them.
+type quarantineState struct {
+	mu   sync.Mutex
+	held control.Quarantine // as of at
+	at   time.Time
+	// table merges the reports of daemons while this host leads the fleet group in term.
+	table *quarantine.Table
+	term  uint64
+}
+
+// Quarantine implements configuration.Source.
+func (h *Host) Quarantine(now time.Time) control.Quarantine {
+	if h.Store {
+		return h.watcher.Quarantine(now)
+	}
+	q := &h.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.held.Aged(now.Sub(q.at))
+}
+
+// applyQuarantine takes over the quarantine of the leader of the fleet group from the reply to
+// a registration that was sent at the given time.
+func (h *Host) applyQuarantine(in *control.Quarantine, sent time.Time) {
+	if h.Store || in == nil {
+		return
+	}
+	q := &h.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if in.Version.NewerThan(q.held.Version) {
+		q.held, q.at = *in, sent
+		h.notifier.Notify()
+	}
+}
+
+// updateQuarantine publishes the quarantine if this host leads the fleet group. A new leader
+// publishes an empty one, which makes the daemons report again.
+func (h *Host) updateQuarantine() {
+	if h.Store {
+		return
+	}
+	term, leads := h.leadsFleet()
+	if !leads {
+		return
+	}
+	now := h.Clock.Now()
+	q := &h.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.table == nil || q.term != term {
+		q.table, q.term = &quarantine.Table{Clock: h.Clock}, term
+		q.held, q.at = control.Quarantine{Version: control.QuarantineVersion{Term: term}}, now
+		h.notifier.Notify()
+		return
+	}
+	suspects, blocks := q.table.Suspects(), q.table.Blocks()
+	if slices.Equal(suspects, q.held.Suspects) && slices.EqualFunc(blocks, q.held.Blocks, sameBlock) {
+		return
+	}
+	h.logQuarantine(suspects, blocks)
+	q.held.Version.Number++
+	q.held.Suspects, q.held.Blocks, q.at = suspects, blocks, now
+	h.notifier.Notify()
+}
+
+// leadsFleet reports whether this host leads the fleet group under a valid lease, and the term.
+func (h *Host) leadsFleet() (term uint64, leads bool) {
+	g := h.groups[control.FleetGroup]
+	s := g.Status()
+	return s.Term, s.Phase == raft.Leader && g.Leased()
+}
+
+// sameBlock reports whether a block was neither narrowed, widened nor renewed since it was
+// published. Renewals that add less than a second do not count.
+func sameBlock(a, published quarantine.Block) bool {
+	return a.Part == published.Part && slices.Equal(a.With, published.With) && a.Left <= published.Left+time.Second
+}
+
+// logQuarantine logs what differs from the published quarantine. The lock is held.
+func (h *Host) logQuarantine(suspects []string, blocks []quarantine.Block) {
+	for _, p := range suspects {
+		if !slices.Contains(h.quarantine.held.Suspects, p) {
+			h.Logger.WithField("part", p).Warn("targets end with this part of a prompt")
+		}
+	}
+	for _, b := range blocks {
+		if !slices.ContainsFunc(h.quarantine.held.Blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
+			h.Logger.WithFields(log.Fields{"part": b.Part, "with": b.With, "left": b.Left.String()}).Warn("part of prompts blocked")
+		}
+	}
+	for _, b := range h.quarantine.held.Blocks {
+		if !slices.ContainsFunc(blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
+			h.Logger.WithField("part", b.Part).Info("part of prompts no longer blocked")
+		}
+	}
+}
+
+// handleCrashes handles control.MethodCrashes on the leader of the fleet group.
+func (h *Host) handleCrashes(_ context.Context, in *control.Crashes) (*control.CrashesReply, error) {
+	term, leads := h.leadsFleet()
+	q := &h.quarantine
+	q.mu.Lock()
+	table, tableTerm := q.table, q.term
+	q.mu.Unlock()
+	if !leads || table == nil || tableTerm != term {
+		return &control.CrashesReply{Routing: h.routing(control.FleetGroup)}, nil
+	}
+	released := table.Add(&in.Report)
+	h.updateQuarantine()
+	return &control.CrashesReply{Term: term, Released: released}, nil
+}
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -107,7 +107,7 @@
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	sent := h.Clock.Now()
-	r, err := h.client.Register(call, &control.Register{Host: h.hostRecord(), Leads: h.ledGroups(), Targets: h.targetsDigest()})
+	r, err := h.client.Register(call, &control.Register{Host: h.hostRecord(), Leads: h.ledGroups(), Targets: h.targetsDigest(), Quarantine: h.Quarantine(sent).Version})
 	if err != nil {
 		return false
 	}
@@ -115,6 +115,7 @@
 	h.roster.reply, h.roster.replyAt = r, sent
 	h.roster.mu.Unlock()
 	h.applyTargets(r.Targets, sent)
+	h.applyQuarantine(r.Quarantine, sent)
 	controls := addresses(r.Hosts, fleet.ControlHost)
 	h.client.SetHosts(controls)
 	if h.ControlHostsUpdated != nil {
@@ -267,6 +268,7 @@
 	r := &control.RegisterReply{Hosts: h.hostStates(now), First: h.fleet.First()}
 	if in.Host.Kind == fleet.ControlHost {
 		r.Targets = configuration.TargetListReply(h, h.Clock.Now(), in.Targets)
+		r.Quarantine = configuration.QuarantineReply(h, h.Clock.Now(), in.Quarantine)
 	}
 	return r, nil
 }
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -43,6 +43,7 @@
 	if !h.Store {
 		wire.Unary(m, control.MethodCommit, wire.Operators, h.commit)
 		wire.Unary(m, control.MethodRegister, wire.Controls, h.handleRegister)
+		wire.Unary(m, control.MethodCrashes, wire.Daemons, h.handleCrashes)
 		wire.Unary(m, control.MethodDocument, wire.Operators, h.document)
 		wire.Unary(m, control.MethodRetire, wire.Operators, h.retire)
 	}
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -182,9 +182,13 @@
 		Wire: h.wire, Parents: h.Parents, Clock: h.Clock, Random: h.Random, Logger: h.Logger, Failures: failures,
 	}
 	if h.Probe != nil {
-		h.watcher.OnPeers = func(p control.Peers) { h.control.SetHosts(p.Stores) }
-		h.watcher.OnTargets = h.Targets.Update
-		h.crashes = crashes.NewRecorder(h.Targets, h.Clock, h.Logger, h.Metrics)
+		controls := &control.Client{Wire: h.wire, Hosts: h.Parents, Clock: h.Clock}
+		h.crashes = crashes.NewRecorder(h.Targets, controls, h.Clock, h.Logger, h.Metrics)
+		h.watcher.OnPeers = func(p control.Peers) {
+			h.control.SetHosts(p.Stores)
+			controls.SetHosts(p.Controls)
+		}
+		h.watcher.OnTargets, h.watcher.OnQuarantine = h.Targets.Update, h.crashes.Update
 		h.Targets.Confirm = func(_ context.Context, i rhubarbgate.Instance) bool { return i.Address == h.Target }
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -31,6 +31,9 @@
 	// failedAttemptDelay is the delay before an item is returned after an attempt
 	// that failed at the target.
 	failedAttemptDelay = 100 * time.Millisecond
+	// blockedItemDelay is the delay before an item is returned whose prompt is blocked. Other
+	// sides block it too, so it would only be passed around.
+	blockedItemDelay = 5 * time.Second
 	// maxSlotWait is how long an item is queued for a slot of this target before its
 	// lease is returned: the time of a few load probes.
 	maxSlotWait = 120 * time.Millisecond
@@ -120,7 +123,7 @@
 func (w *worker) returnItemLater(ctx context.Context, t *task) {
 	select {
 	case <-ctx.Done():
-	case <-w.clock.After(failedAttemptDelay):
+	case <-w.clock.After(max(failedAttemptDelay, t.returnDelay)):
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -95,6 +95,11 @@
 	if err := wire.Unmarshal(t.grant.Line, &item); err != nil {
 		return rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "item: %v", err)
 	}
+	parts := w.sharedParts(&item)
+	if part, _, blocked := h.crashes.Blocked(parts); blocked {
+		t.returnDelay = blockedItemDelay
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "targets end when they answer prompts with the part %s", part)
+	}
 	q := &target.Request{Method: http.MethodPost, Host: route.Path.Host, Path: item.Path, Body: item.Body, Idempotent: true}
 	own := h.Dialect.TargetHeaders(rhubarbgate.TargetCall{Request: item.ID, Instance: i.ID, Workspace: t.grant.Workspace})
 	if t.output.LastID != "" {
@@ -113,7 +118,10 @@
 		stallTimer.Reset(itemStallTimeout)
 	})
 	if e != nil && e.Code == rhubarbgate.CodeUpstream && e.Verdict == rhubarbgate.MayHaveRun && ctx.Err() == nil {
-		w.recordBreak(t, i, &item, answeringSince, e)
+		w.recordBreak(t, i, parts, answeringSince, e)
+	}
+	if e == nil {
+		h.crashes.RecordAnswer(parts)
 	}
 	return e
 }
@@ -132,13 +140,13 @@
 }
 
 // recordBreak records that the target broke off the response to an item with the error e.
-func (w *worker) recordBreak(t *task, i rhubarbgate.Instance, item *rhubarbgate.JobItem, answeringSince time.Time, e *rhubarbgate.Error) {
+func (w *worker) recordBreak(t *task, i rhubarbgate.Instance, parts []string, answeringSince time.Time, e *rhubarbgate.Error) {
 	x := w.host.Targets.Target(i)
 	if x == nil {
 		return
 	}
 	now := w.clock.Now()
-	b := crashes.Break{Target: x, Parts: w.sharedParts(item), At: now, Cause: e.Message, Fields: log.Fields{
+	b := crashes.Break{Target: x, Parts: parts, At: now, Cause: e.Message, Fields: log.Fields{
 		"job": t.grant.Ref.Job, "index": t.grant.Ref.Index, "attempt": t.grant.Ref.Attempt, "workspace": t.grant.Workspace,
 	}}
 	if !answeringSince.IsZero() {
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -17,6 +17,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
@@ -157,3 +158,35 @@
 	qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
 	qt.Assert(t, o, qt.DeepEquals, output{})
 }
+
+// TestItemsWithBlockedPromptsAreNotSent guards against a batch item that ends the target of one
+// side after the other, and against passing it around between the sides meanwhile.
+func TestItemsWithBlockedPromptsAreNotSent(t *testing.T) {
+	tests := []struct {
+		name, prompt string
+		sent         bool
+	}{
+		{"blocked part", "a:1,bad:1,own:1", false},
+		{"other parts", "a:1,b:1,own:1", true},
+		{"part of its own", "a:1,bad:1", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := &platformtest.Target{}
+			w, task := newBatchOnlyWorker(t, x, clockwork.NewRealClock())
+			w.host.crashes.Update(control.Quarantine{
+				Version: control.QuarantineVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}},
+			}, w.clock.Now())
+			var err error
+			task.grant.Line, err = wire.Marshal(&rhubarbgate.JobItem{ID: "item", Path: "/b/x", Headers: []rhubarbgate.Header{{Name: "X-Prompt-Prefix", Value: test.prompt}}})
+			qt.Assert(t, err, qt.IsNil)
+			failure := w.streamItem(context.Background(), task)
+			qt.Assert(t, failure == nil, qt.Equals, test.sent)
+			qt.Assert(t, len(x.Runs()) == 1, qt.Equals, test.sent)
+			if !test.sent {
+				qt.Assert(t, failure.Verdict, qt.Equals, rhubarbgate.NotRun)
+				qt.Assert(t, task.returnDelay, qt.Equals, blockedItemDelay)
+			}
+		})
+	}
+}
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -73,6 +73,9 @@
 	partial partialOutput
 	// output is the item's output so far, if the host has a Probe.
 	output output
+	// returnDelay is how long the item is kept before its lease is returned, if that is longer
+	// than failedAttemptDelay.
+	returnDelay time.Duration
 }
 
 type groupOutcome struct {
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -264,6 +264,11 @@
 	return call[RegisterReply](ctx, c, FleetGroup, MethodRegister, in)
 }
 
+// Crashes reports ended targets to the leader of the fleet group.
+func (c *Client) Crashes(ctx context.Context, in *Crashes) (*CrashesReply, error) {
+	return call[CrashesReply](ctx, c, FleetGroup, MethodCrashes, in)
+}
+
 // Document returns the newest configuration document as the operator sent it.
 func (c *Client) Document(ctx context.Context) (*DocumentReply, error) {
 	return call[DocumentReply](ctx, c, FleetGroup, MethodDocument, &Document{})
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -10,6 +10,7 @@
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/state/burn"
 	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -32,6 +33,7 @@
 	MethodRegister = "/control/Register"
 	MethodDocument = "/control/Document"
 	MethodRetire   = "/control/Retire"
+	MethodCrashes  = "/control/Crashes"
 )
 
 // FleetGroup is the ID of the Raft group that holds the configuration and the list of
@@ -66,6 +68,8 @@
 	Wait    time.Duration
 	// Targets is the digest of the list of targets that the polling process holds.
 	Targets uint64 `msgpack:",omitempty"`
+	// Quarantine is the version of the quarantine that the polling process holds.
+	Quarantine QuarantineVersion
 }
 
 // PollReply carries the bundles after the polled version or, if they are no longer
@@ -88,6 +92,49 @@
 	Backlog []string `msgpack:",omitempty"`
 	Peers   Peers    `msgpack:",omitempty"`
 	Targets *TargetList
+	// Quarantine is nil if the polling process holds this version or a newer one.
+	Quarantine *Quarantine `msgpack:",omitempty"`
+}
+
+// QuarantineVersion orders the quarantines of all leaders of the fleet group: by the leader's
+// term, then by the changes that this leader made.
+type QuarantineVersion struct{ Term, Number uint64 }
+
+// NewerThan reports whether v is newer than o.
+func (v QuarantineVersion) NewerThan(o QuarantineVersion) bool {
+	return v.Term > o.Term || v.Term == o.Term && v.Number > o.Number
+}
+
+// Quarantine lists the parts of prompts at which targets end.
+type Quarantine struct {
+	Version QuarantineVersion
+	// Suspects are parts that will be blocked unless a daemon reports an answer to them.
+	Suspects []string
+	Blocks   []quarantine.Block
+}
+
+// Aged returns the quarantine as it is after d.
+func (q Quarantine) Aged(d time.Duration) Quarantine {
+	blocks := make([]quarantine.Block, 0, len(q.Blocks))
+	for _, b := range q.Blocks {
+		if b.Left -= d; b.Left > 0 {
+			blocks = append(blocks, b)
+		}
+	}
+	q.Blocks = blocks
+	return q
+}
+
+// Crashes reports to the leader of the fleet group which targets ended with which prompts.
+type Crashes struct{ Report quarantine.Report }
+
+// CrashesReply is the reply to Crashes.
+type CrashesReply struct {
+	Routing
+	// Term is that of the leader, which has kept the report until the term ends.
+	Term uint64
+	// Released are parts of reported blocks that were answered since.
+	Released []string
 }
 
 // TargetList is the platform's list of targets as a control host last read it.
@@ -117,6 +164,8 @@
 	Leads []GroupMembers
 	// Targets is the digest of the list of targets that a control host holds.
 	Targets uint64 `msgpack:",omitempty"`
+	// Quarantine is the version of the quarantine that a control host holds.
+	Quarantine QuarantineVersion
 }
 
 // GroupMembers is the membership of a job group, as reported by its leader in Term.
@@ -134,6 +183,8 @@
 	First *fleet.InitialStoreHosts
 	// Targets is the leader's list of targets, for control hosts.
 	Targets *TargetList `msgpack:",omitempty"`
+	// Quarantine is that of the leader, for control hosts that hold an older one.
+	Quarantine *Quarantine `msgpack:",omitempty"`
 }
 
 // HostState is a host and the time since the leader last received its Register, or since
