discovery: the end of a target is not overlooked for a lost packet or an earlier check

Without it an end that matters to the quarantine of prompts could go uncounted, so that one more target ends: a check within 0.3 s of one that had found the target up repeated its result, and one lost opening packet made a dead target look silent. Change: only a found end is remembered; the opening packet is sent again after 80 ms.

--- a/internal/controller/discovery/ended.go
+++ b/internal/controller/discovery/ended.go
@@ -11,31 +11,32 @@
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 )
 
-// endedCheckTTL is how long the result of a check is used for further responses that the
-// same target broke off. A crash breaks off all of them within milliseconds.
-const endedCheckTTL = 300 * time.Millisecond
-
-// endedCheck is the result of a check whether a target has ended.
-type endedCheck struct {
-	ended bool
-	at    time.Time
-}
+const (
+	// endedTTL is how long a target that was found to have ended counts as ended. A crash
+	// breaks off all of its responses within milliseconds.
+	endedTTL = 300 * time.Millisecond
+	// endedRedialInterval is the time after which a lost opening packet is sent again.
+	endedRedialInterval = 80 * time.Millisecond
+)
 
 // HasEnded reports whether the process of a target has ended: its port refuses connections. A
 // host that is off or cut off does not reply and counts as not ended. Concurrent calls for a
-// target share one connection attempt.
+// target share one check.
 func (t *Table) HasEnded(ctx context.Context, x *Target) bool {
-	if c := x.endedCheck.Load(); c != nil && t.Clock.Since(c.at) < endedCheckTTL {
-		return c.ended
+	if at := x.endedAt.Load(); at != nil && t.Clock.Since(*at) < endedTTL {
+		return true
 	}
 	ended, _, _ := t.checkingEnd.Do(x.name, func() (any, error) {
-		c, err := cmp.Or(t.Dialer, socket.Dialer(dialTimeout)).DialContext(ctx, "tcp", x.Instance.Address.String())
+		c, err := socket.Redial(ctx, t.Clock, cmp.Or(t.Dialer, socket.Dialer(dialTimeout)), endedRedialInterval, x.Instance.Address.String())
 		if err == nil {
 			c.Close()
 		}
-		ended := errors.Is(err, syscall.ECONNREFUSED)
-		x.endedCheck.Store(&endedCheck{ended, t.Clock.Now()})
-		return ended, nil
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return false, nil
+		}
+		now := t.Clock.Now()
+		x.endedAt.Store(&now)
+		return true, nil
 	})
 	return ended == true
 }
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -95,9 +95,9 @@
 	// instance's life, whatever the list shows: the list lags, and may be out of reach.
 	announcedLeaving atomic.Bool
 
-	inFlight   atomic.Int64
-	load       atomic.Pointer[loadReport]
-	endedCheck atomic.Pointer[endedCheck]
+	inFlight atomic.Int64
+	load     atomic.Pointer[loadReport]
+	endedAt  atomic.Pointer[time.Time] // when HasEnded last found that the target has ended
 }
 
 // loadReport is a load that a target reported and when it arrived.
