soak: requests whose prompts crash targets

Callers' prompts now have parts; after a quarter of a run, requests with one more part come at any entry every 150 ms and crash the target that starts them. Checked: after the fifth crash and 3 s, at most three of them reach a target, not counting those at an entry that was stopped or frozen within 3 s, or whose control hosts were.

--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -227,8 +227,8 @@
 	}
 	late := 0
 	for _, x := range f.targets {
-		for _, at := range x.CrashingRuns() {
-			if at.After(known) {
+		for _, r := range x.CrashingRuns() {
+			if r.At.After(known) {
 				late++
 			}
 		}
--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 )
 
@@ -25,23 +27,50 @@
 		if random.IntN(20) == 0 {
 			timeout = time.Duration(random.IntN(100)) * time.Millisecond
 		}
-		req := s.send(context.WithoutCancel(ctx), s.chooseEntry(random), routes[random.IntN(len(routes))], fmt.Sprintf("c%d-%d", caller, n), workspace, key, timeout)
+		id := fmt.Sprintf("c%d-%d", caller, n)
+		parts := []string{fmt.Sprintf("common-%d", random.IntN(commonParts)), fmt.Sprintf("subject-%d", random.IntN(subjectParts)), id}
+		req := s.sendPrompt(context.WithoutCancel(ctx), s.chooseEntry(random), routes[random.IntN(len(routes))], id, workspace, key, timeout, parts)
 		if req.response.Err != nil || req.response.Status != 200 {
 			s.Clock.Sleep(time.Duration(20+random.IntN(60)) * time.Millisecond)
 		}
 	}
 }
 
-// send sends one request to an entry and records the response that its caller received.
+// sendCrashingRequests sends requests whose prompts crash targets, from the time when a part of
+// the run has passed until ctx is done.
+func (s *Soak) sendCrashingRequests(ctx context.Context, random *rand.Rand) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	for n, wait := 0, s.Duration/crashStartDivisor; ; n, wait = n+1, crashInterval {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(wait):
+		}
+		entry, route := s.chooseEntry(random), []string{"stream", "resume"}[random.IntN(2)]
+		id := fmt.Sprintf("crash-%d", n)
+		parts := []string{fmt.Sprintf("common-%d", random.IntN(commonParts)), crashPart, id}
+		tasks.Go(func() {
+			s.sendPrompt(context.WithoutCancel(ctx), entry, route, id, "one", "key-one-a", callerTimeout, parts)
+		})
+	}
+}
+
+// send sends one request without a prompt, as sendPrompt does.
 func (s *Soak) send(ctx context.Context, entry int, route, id, workspace, key string, timeout time.Duration) *sentRequest {
+	return s.sendPrompt(ctx, entry, route, id, workspace, key, timeout, nil)
+}
+
+// sendPrompt sends one request to an entry and records the response that its caller received.
+func (s *Soak) sendPrompt(ctx context.Context, entry int, route, id, workspace, key string, timeout time.Duration, parts []string) *sentRequest {
 	p := s.entries[entry]
-	req := &sentRequest{id: id, route: route, workspace: workspace, key: key, sentAt: s.Clock.Now()}
+	req := &sentRequest{id: id, entry: p, route: route, workspace: workspace, key: key, sentAt: s.Clock.Now()}
 	callCtx, cancel := deadline.WithTimeout(ctx, s.Clock, timeout)
 	defer cancel()
 	s.mu.Lock()
 	stoppingAtStart, faultsAtStart := s.gracefullyStopping[p], s.faultCount
 	s.mu.Unlock()
-	req.response = s.client.Send(callCtx, netip.AddrPortFrom(p.address, callerPort), route, id, key, timeout)
+	req.response = s.client.SendPrompt(callCtx, netip.AddrPortFrom(p.address, callerPort), route, id, key, timeout, parts)
 	// The entry applies the same timeout and may end the request slightly before the
 	// caller does, hence the margin of a tenth.
 	req.pastDeadline = callCtx.Err() != nil || s.Clock.Since(req.sentAt) > timeout*9/10
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -17,6 +17,7 @@
 // sentRequest is a request and the response that its caller received.
 type sentRequest struct {
 	id, route, workspace, key string
+	entry                     *process
 	sentAt                    time.Time
 	response                  platformtest.Response
 	// pastDeadline is set if the deadline had passed, or was close, when the request ended.
@@ -156,6 +157,44 @@
 	}
 }
 
+// Requests whose prompts crash targets must stop reaching them a time after the fifth crash.
+const (
+	crashesBeforeNotice = 5
+	noticeTime          = 3 * time.Second
+	maxLateCrashingRuns = 3
+)
+
+// verifyCrashes checks that requests with crashPart stopped reaching targets, apart from those of
+// entries that were disturbed shortly before, or whose control hosts were. It returns how many
+// crashes there were and how many requests came too late.
+func (s *Soak) verifyCrashes() (crashCount, late int) {
+	var crashes []time.Time
+	for _, t := range s.targets {
+		crashes = append(crashes, t.Crashes()...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	if len(crashes) < crashesBeforeNotice {
+		return len(crashes), 0
+	}
+	noticed := crashes[crashesBeforeNotice-1].Add(noticeTime)
+	entries := map[string]*process{}
+	for _, req := range s.history.requests {
+		entries[req.id] = req.entry
+	}
+	for _, t := range s.targets {
+		for _, r := range t.CrashingRuns() {
+			watched := append([]*process{entries[r.ID]}, s.controlHosts...)
+			if r.At.After(noticed) && !s.disturbed(watched, r.At.Add(-noticeTime), r.At) {
+				late++
+			}
+		}
+	}
+	if late > maxLateCrashingRuns {
+		s.history.addViolation("%d requests that crash targets reached one later than %v after the fifth crash; %d crashes", late, noticeTime, len(crashes))
+	}
+	return len(crashes), late
+}
+
 // responseBody returns the complete response body of a request.
 func responseBody(route, id string) string {
 	if route == "safe" || route == "unsafe" {
--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -45,10 +46,39 @@
 	s.Logger.WithField("process", p.name).Info(message)
 }
 
+// disturbance is a time in which a process does not run as usual. until is zero while it lasts.
+type disturbance struct {
+	process     *process
+	from, until time.Time
+}
+
+// disturb records that a process is disturbed until the returned function is called.
+func (s *Soak) disturb(p *process) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := &disturbance{process: p, from: s.Clock.Now()}
+	s.disturbances = append(s.disturbances, d)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		d.until = s.Clock.Now()
+	}
+}
+
+// disturbed reports whether one of the processes was disturbed at any time from start to end.
+func (s *Soak) disturbed(list []*process, start, end time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.disturbances, func(d *disturbance) bool {
+		return slices.Contains(list, d.process) && d.from.Before(end) && (d.until.IsZero() || d.until.After(start))
+	})
+}
+
 // restart stops a process with the signal and starts it again after a random pause. An
 // entry that receives SIGTERM is taken out of rotation after balancerLag and put back
 // once it is restarted.
 func (s *Soak) restart(p *process, signal syscall.Signal) {
+	defer s.disturb(p)()
 	if signal == syscall.SIGTERM && strings.HasPrefix(p.name, "entry") {
 		s.mu.Lock()
 		s.gracefullyStopping[p] = true
@@ -84,6 +114,7 @@
 
 // freeze suspends a process with SIGSTOP for 0.5 to 3 seconds.
 func (s *Soak) freeze(p *process) {
+	defer s.disturb(p)()
 	s.recordFault("freeze", p)
 	p.signal(syscall.SIGSTOP)
 	s.Clock.Sleep(time.Duration(500+s.random.IntN(2500)) * time.Millisecond)
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -39,6 +39,15 @@
 	balancerLag = 800 * time.Millisecond
 	// callerTimeout is how long callers wait for a response.
 	callerTimeout = 4 * time.Second
+	// crashPart is the part of a prompt that crashes targets, and crashInterval the time
+	// between requests with it, which start after a crashStartDivisor-th of the run.
+	crashPart         = "crash"
+	crashInterval     = 150 * time.Millisecond
+	crashStartDivisor = 4
+	minDowntime       = 500 * time.Millisecond
+	randomDowntime    = 1500 * time.Millisecond
+	commonParts       = 3
+	subjectParts      = 20
 )
 
 // Soak is one randomised run. The seed determines the random choices, but not how
@@ -71,14 +80,18 @@
 	// unready holds the entries that the balancer has taken out of rotation.
 	unready    map[*process]bool
 	faultCount int
+	// disturbances are the times in which processes were stopped, frozen or restarting.
+	disturbances []*disturbance
 }
 
 // Report is the outcome of a run: how many requests were sent and served, how many jobs
-// were accepted, how many of their items are done, and how many faults were injected.
+// were accepted, how many of their items are done, how many faults were injected, how often
+// requests crashed a target, and how many such requests should not have reached one any more.
 type Report struct {
 	Seed                         uint64
 	Requests, Served, Jobs, Done int
 	Faults                       int
+	Crashes, LateCrashingRuns    int
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -107,6 +120,8 @@
 	}
 	jobs := rand.New(rand.NewPCG(s.Seed, 99))
 	tasks.Go(func() { s.submitJobs(loadCtx, jobs) })
+	crashing := rand.New(rand.NewPCG(s.Seed, 98))
+	tasks.Go(func() { s.sendCrashingRequests(loadCtx, crashing) })
 	s.injectFaults(ctx)
 	stopLoad()
 	tasks.Wait()
@@ -115,7 +130,10 @@
 	}
 	s.awaitRecovery(ctx)
 	s.history.verify(s.targets)
-	return s.report(), nil
+	crashes, late := s.verifyCrashes()
+	r := s.report()
+	r.Crashes, r.LateCrashingRuns = crashes, late
+	return r, nil
 }
 
 // awaitServing configures the fleet and waits until every entry serves a request and a
