targetlimits: log the limits that targets state, and what each process sends there

Of the three hypotheses (nobody reads the limit; each process keeps to it alone; items come on top) the logs could support none. The dialect decodes the limit; entries and sides log when a target states one or ends it, and every 4 s how many requests they sent to it; TargetsLimited counts such targets. Nothing is decided by it yet.

--- a/dialect.go
+++ b/dialect.go
@@ -64,6 +64,10 @@
 	NotRun bool
 	// Leaving is the target's announcement that it is about to stop.
 	Leaving bool
+	// Limit is the rate of requests a second that the target takes from all processes
+	// together; it is valid only if HasLimit is set.
+	Limit    float64
+	HasLimit bool
 	// Load is the target's load; it is valid only if HasLoad is set.
 	Load    TargetLoad
 	HasLoad bool
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -207,7 +207,7 @@
 		}
 	}
 	t.ejector.Retain(func(name string) bool {
-		return slices.ContainsFunc(list, func(x rhubarbgate.Instance) bool { return name == targetName(x) })
+		return slices.ContainsFunc(list, func(x rhubarbgate.Instance) bool { return name == TargetName(x) })
 	})
 }
 
@@ -237,12 +237,12 @@
 	}
 }
 
-// targetName returns the name of a target for its health and as a candidate.
-func targetName(x rhubarbgate.Instance) string { return x.ID + "@" + x.Address.String() }
+// TargetName returns the name of the target of an instance, see Target.Name.
+func TargetName(x rhubarbgate.Instance) string { return x.ID + "@" + x.Address.String() }
 
 // add adds a target. The lock is held.
 func (t *Table) add(k targetKey, x rhubarbgate.Instance) *Target {
-	added := &Target{Instance: x, name: targetName(x), Client: &target.Client{
+	added := &Target{Instance: x, name: TargetName(x), Client: &target.Client{
 		Address: x.Address, Dialer: cmp.Or(t.Dialer, socket.Dialer(dialTimeout)), NonIdempotentMaxIdle: maxIdleNonIdempotent, MaxIdle: maxIdle,
 		Clock: t.Clock, CloseDelimited: true, Opened: t.Opened,
 	}}
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -194,6 +194,7 @@
 	ctx, cancel := deadline.WithTimeout(x.Context, s.Clock, remaining)
 	a := &attempt{forwardedRequest: q, target: t, cancel: cancel}
 	s.Targets.Begin(t)
+	s.Limits.CountSent(t.Name())
 	response, err := t.Client.Do(ctx, &r)
 	if err != nil {
 		e := rhubarbgate.AsError(err)
@@ -230,6 +231,7 @@
 	if a.head.Leaving {
 		s.Targets.RecordLeaving(a.target)
 	}
+	s.Limits.Observe(a.target.Name(), a.head.Limit, a.head.HasLimit)
 	if a.head.HasLoad {
 		s.Targets.RecordLoad(a.target, a.head.Load)
 	}
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -21,6 +21,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
@@ -48,6 +49,8 @@
 	// Crashes, if set, records responses and those that targets break off, and blocks prompts
 	// with which targets end.
 	Crashes *crashes.Recorder
+	// Limits, if set, keeps the limits that targets state.
+	Limits *targetlimits.Keeper
 	// Stores calls the store hosts, which keep the batch jobs.
 	Stores *control.Client
 	Picker rhubarbgate.Picker
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -20,6 +20,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
+	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
@@ -96,6 +97,7 @@
 	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
 	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
 	table := d.table()
+	keeper := targetlimits.NewKeeper(d.Clock, d.Logger, d.Metrics)
 	recorder := crashes.NewRecorder(table, controls, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
 		OnTargets: table.Update, OnQuarantine: recorder.Update,
@@ -113,7 +115,7 @@
 	}
 	exchange.Start()
 	d.server = &ingress.Server{
-		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Stores: stores,
+		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Limits: keeper, Stores: stores,
 		Picker: &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
@@ -124,6 +126,7 @@
 	tasks.Go(func() { watcher.Run(work) })
 	tasks.Go(func() { table.Run(work) })
 	tasks.Go(func() { recorder.Run(work) })
+	tasks.Go(func() { keeper.Run(work) })
 	tasks.Go(func() { exchange.Run(work) })
 	tasks.Go(func() { served <- d.server.Serve(d.Listener) })
 	tasks.Go(func() { served <- d.server.ServeReadiness(d.Readiness) })
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -41,6 +41,7 @@
 	tasks.Go(func() { h.watcher.Run(work) })
 	tasks.Go(func() { h.Targets.Run(work) })
 	tasks.Go(func() { h.crashes.Run(work) })
+	tasks.Go(func() { h.limits.Run(work) })
 	tasks.Go(func() { h.pollLoad(work) })
 	tasks.Go(func() { h.worker.run(batch) })
 	<-ctx.Done()
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -21,6 +21,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
+	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -100,7 +101,8 @@
 	keeper         *gatekeeper.Gatekeeper
 	targetClient   *target.Client
 	worker         *worker
-	crashes        *crashes.Recorder // nil without a Probe
+	crashes        *crashes.Recorder    // nil without a Probe
+	limits         *targetlimits.Keeper // nil without a Probe
 	leaving        atomic.Bool
 	targetDown     atomic.Bool
 	activeRequests atomic.Int64
@@ -184,6 +186,7 @@
 	if h.Probe != nil {
 		controls := &control.Client{Wire: h.wire, Hosts: h.Parents, Clock: h.Clock}
 		h.crashes = crashes.NewRecorder(h.Targets, controls, h.Clock, h.Logger, h.Metrics)
+		h.limits = targetlimits.NewKeeper(h.Clock, h.Logger, h.Metrics)
 		h.watcher.OnPeers = func(p control.Peers) {
 			h.control.SetHosts(p.Stores)
 			controls.SetHosts(p.Controls)
