control, replica: one type for the versions of what leaders publish

The quarantine's version and the way in which followers take it over are not particular to it. LeaderVersion and published hold them, so that the next list that the leader of the fleet group publishes needs no copy. No behaviour changes; the tests of the quarantine pass as before.

--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -105,7 +105,7 @@
 
 // QuarantineReply returns the quarantine, or nil unless it is newer than the version that the
 // process that asks holds.
-func QuarantineReply(s Source, now time.Time, held control.QuarantineVersion) *control.Quarantine {
+func QuarantineReply(s Source, now time.Time, held control.LeaderVersion) *control.Quarantine {
 	q := s.Quarantine(now)
 	if !q.Version.NewerThan(held) {
 		return nil
--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -63,7 +63,7 @@
 	answers      recentAnswers
 	newestAnswer time.Time
 	ends         []*end
-	version      control.QuarantineVersion
+	version      control.LeaderVersion
 	suspects     []string
 	blocks       map[string]block
 }
--- a/internal/controller/crashes/report_test.go
+++ b/internal/controller/crashes/report_test.go
@@ -68,13 +68,13 @@
 	qt.Assert(t, first.Answered, qt.IsTrue)
 
 	now := r.Clock.Now()
-	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, now)
+	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, now)
 	second := <-received
 	qt.Assert(t, second.Crashes, qt.HasLen, 0, qt.Commentf("the leader has them"))
 	qt.Assert(t, second.Blocks, qt.HasLen, 0)
 
 	term.Store(2)
-	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 2}}, now)
+	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 2}}, now)
 	_, _, blocked := r.Blocked([]string{"bad"})
 	qt.Assert(t, blocked, qt.IsTrue)
 	third := <-received
@@ -88,8 +88,8 @@
 func TestBlockedPrompts(t *testing.T) {
 	bad := quarantine.Block{Part: "bad", Left: time.Minute}
 	badWithRare := quarantine.Block{Part: "bad", With: []string{"rare"}, Left: time.Minute}
-	version := func(term, number uint64) control.QuarantineVersion {
-		return control.QuarantineVersion{Term: term, Number: number}
+	version := func(term, number uint64) control.LeaderVersion {
+		return control.LeaderVersion{Term: term, Number: number}
 	}
 	tests := []struct {
 		name    string
@@ -132,8 +132,8 @@
 	var term atomic.Uint64
 	term.Store(2)
 	r, received := newTestRecorder(t, &term, []string{"bad"})
-	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, r.Clock.Now())
-	r.Update(control.Quarantine{Version: control.QuarantineVersion{Term: 2}}, r.Clock.Now())
+	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, r.Clock.Now())
+	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 2}}, r.Clock.Now())
 	_, _, blocked := r.Blocked([]string{"bad"})
 	qt.Assert(t, blocked, qt.IsTrue)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -616,7 +616,7 @@
 	e := newEntry(t, &platformtest.Target{})
 	e.server.Crashes = crashes.NewRecorder(e.server.Targets, nil, e.server.Clock, e.server.Logger, new(expvar.Map).Init())
 	e.server.Crashes.Update(control.Quarantine{
-		Version: control.QuarantineVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}},
+		Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}},
 	}, e.server.Clock.Now())
 	tests := []struct {
 		name, prompt string
--- a/internal/role/replica/quarantine.go
+++ b/internal/role/replica/quarantine.go
@@ -13,12 +13,39 @@
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
 
-// quarantineState is the quarantine as this control host knows it. It is not replicated: daemons
-// report again what they know to a new leader, and keep their blocks until that one has them.
+// published is what the leader of the fleet group has published last, as this control host knows
+// it. It is not replicated: daemons report again what they know to a new leader.
+type published[V any] struct {
+	value   V
+	version control.LeaderVersion
+	at      time.Time // as of when value is
+}
+
+// receive takes over what the leader published, if it is newer, and reports whether it was.
+func (p *published[V]) receive(value V, version control.LeaderVersion, at time.Time) bool {
+	if !version.NewerThan(p.version) {
+		return false
+	}
+	p.value, p.version, p.at = value, version, at
+	return true
+}
+
+// begin publishes the value of a new leader.
+func (p *published[V]) begin(value V, term uint64, at time.Time) {
+	p.value, p.version, p.at = value, control.LeaderVersion{Term: term}, at
+}
+
+// replace publishes another value of the same leader.
+func (p *published[V]) replace(value V, at time.Time) {
+	p.value, p.at = value, at
+	p.version.Number++
+}
+
+// quarantineState is the quarantine as this control host knows it. Daemons keep their blocks
+// until a new leader has them.
 type quarantineState struct {
 	mu   sync.Mutex
-	held control.Quarantine // as of at
-	at   time.Time
+	last published[control.Quarantine]
 	// table merges the reports of daemons while this host leads the fleet group in term.
 	table *quarantine.Table
 	term  uint64
@@ -32,7 +59,9 @@
 	q := &h.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.held.Aged(now.Sub(q.at))
+	v := q.last.value.Aged(now.Sub(q.last.at))
+	v.Version = q.last.version
+	return v
 }
 
 // applyQuarantine takes over the quarantine of the leader of the fleet group from the reply to
@@ -44,8 +73,7 @@
 	q := &h.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if in.Version.NewerThan(q.held.Version) {
-		q.held, q.at = *in, sent
+	if q.last.receive(*in, in.Version, sent) {
 		h.notifier.Notify()
 	}
 }
@@ -66,17 +94,16 @@
 	defer q.mu.Unlock()
 	if q.table == nil || q.term != term {
 		q.table, q.term = &quarantine.Table{Clock: h.Clock}, term
-		q.held, q.at = control.Quarantine{Version: control.QuarantineVersion{Term: term}}, now
+		q.last.begin(control.Quarantine{}, term, now)
 		h.notifier.Notify()
 		return
 	}
 	suspects, blocks := q.table.Suspects(), q.table.Blocks()
-	if slices.Equal(suspects, q.held.Suspects) && slices.EqualFunc(blocks, q.held.Blocks, sameBlock) {
+	if slices.Equal(suspects, q.last.value.Suspects) && slices.EqualFunc(blocks, q.last.value.Blocks, sameBlock) {
 		return
 	}
 	h.logQuarantine(suspects, blocks)
-	q.held.Version.Number++
-	q.held.Suspects, q.held.Blocks, q.at = suspects, blocks, now
+	q.last.replace(control.Quarantine{Suspects: suspects, Blocks: blocks}, now)
 	h.notifier.Notify()
 }
 
@@ -96,16 +123,16 @@
 // logQuarantine logs what differs from the published quarantine. The lock is held.
 func (h *Host) logQuarantine(suspects []string, blocks []quarantine.Block) {
 	for _, p := range suspects {
-		if !slices.Contains(h.quarantine.held.Suspects, p) {
+		if !slices.Contains(h.quarantine.last.value.Suspects, p) {
 			h.Logger.WithField("part", p).Warn("targets end with this part of a prompt")
 		}
 	}
 	for _, b := range blocks {
-		if !slices.ContainsFunc(h.quarantine.held.Blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
+		if !slices.ContainsFunc(h.quarantine.last.value.Blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
 			h.Logger.WithFields(log.Fields{"part": b.Part, "with": b.With, "left": b.Left.String()}).Warn("part of prompts blocked")
 		}
 	}
-	for _, b := range h.quarantine.held.Blocks {
+	for _, b := range h.quarantine.last.value.Blocks {
 		if !slices.ContainsFunc(blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
 			h.Logger.WithField("part", b.Part).Info("part of prompts no longer blocked")
 		}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -69,7 +69,7 @@
 	// Targets is the digest of the list of targets that the polling process holds.
 	Targets uint64 `msgpack:",omitempty"`
 	// Quarantine is the version of the quarantine that the polling process holds.
-	Quarantine QuarantineVersion
+	Quarantine LeaderVersion
 }
 
 // PollReply carries the bundles after the polled version or, if they are no longer
@@ -96,18 +96,18 @@
 	Quarantine *Quarantine `msgpack:",omitempty"`
 }
 
-// QuarantineVersion orders the quarantines of all leaders of the fleet group: by the leader's
-// term, then by the changes that this leader made.
-type QuarantineVersion struct{ Term, Number uint64 }
+// LeaderVersion orders what all leaders of the fleet group have published: by the leader's term,
+// then by the changes that this leader made.
+type LeaderVersion struct{ Term, Number uint64 }
 
 // NewerThan reports whether v is newer than o.
-func (v QuarantineVersion) NewerThan(o QuarantineVersion) bool {
+func (v LeaderVersion) NewerThan(o LeaderVersion) bool {
 	return v.Term > o.Term || v.Term == o.Term && v.Number > o.Number
 }
 
 // Quarantine lists the parts of prompts at which targets end.
 type Quarantine struct {
-	Version QuarantineVersion
+	Version LeaderVersion
 	// Suspects are parts that will be blocked unless a daemon reports an answer to them.
 	Suspects []string
 	Blocks   []quarantine.Block
@@ -165,7 +165,7 @@
 	// Targets is the digest of the list of targets that a control host holds.
 	Targets uint64 `msgpack:",omitempty"`
 	// Quarantine is the version of the quarantine that a control host holds.
-	Quarantine QuarantineVersion
+	Quarantine LeaderVersion
 }
 
 // GroupMembers is the membership of a job group, as reported by its leader in Term.
