target limits: the rate that a target states is divided among the processes that send to it

Cause: nothing read the limit; and each of the five entries alone was within it (at most 9 requests in 4 s of the 12 that a limit of 3 allows), while together with the sides, a quarter to a half of all, they sent 23 to 41. Class: a bound on the sum over processes that each process can see only its own part of. Change: processes claim parts of stated limits from the leader of the fleet group, which divides each rate among a few holders by their demand and publishes the division with polls. Holders keep to their part with a token bucket; others leave the target out. If all targets are at their limits, a request is refused at once, with the time to come back.

--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -29,7 +29,8 @@
 	// longer kept.
 	Since(version uint64) ([]rhubarbgate.Bundle, bool)
 	// Changed returns a channel that is closed at the next change of the
-	// configuration, the list of targets or the quarantine, or when the backlog gains a need.
+	// configuration, the list of targets, the quarantine or the target limits, or when the
+	// backlog gains a need.
 	Changed() <-chan struct{}
 	// Groups returns the number of job groups, 0 while it is unknown.
 	Groups() int
@@ -41,6 +42,8 @@
 	Targets() (list control.TargetList, requestedAt time.Time)
 	// Quarantine returns the parts of prompts at which targets end, as of now.
 	Quarantine(now time.Time) control.Quarantine
+	// TargetLimits returns the targets that state a limit.
+	TargetLimits() control.TargetLimits
 }
 
 // Register serves polls of other daemons from s.
@@ -55,8 +58,8 @@
 func replyToPoll(ctx context.Context, s Source, clock clockwork.Clock, p *control.Poll) *control.PollReply {
 	changed, receivedAt := s.Changed(), clock.Now()
 	list, _ := s.Targets()
-	newQuarantine := s.Quarantine(receivedAt).Version.NewerThan(p.Quarantine)
-	if s.Current().Version <= p.Version && list.Digest == p.Targets && !newQuarantine && p.Wait > 0 {
+	newer := s.Quarantine(receivedAt).Version.NewerThan(p.Quarantine) || s.TargetLimits().Version.NewerThan(p.Limits)
+	if s.Current().Version <= p.Version && list.Digest == p.Targets && !newer && p.Wait > 0 {
 		t := clock.NewTimer(min(p.Wait, maxPollHold))
 		defer t.Stop()
 		select {
@@ -73,6 +76,7 @@
 	r := &control.PollReply{Version: c.Version, Digest: c.Digest, Sum: c.Sum, Age: age, Held: now.Sub(receivedAt), Groups: s.Groups(), Backlog: s.Backlog(), Peers: s.Peers()}
 	r.Targets = TargetListReply(s, now, p.Targets)
 	r.Quarantine = QuarantineReply(s, now, p.Quarantine)
+	r.Limits = TargetLimitsReply(s, p.Limits)
 	if c.Version <= p.Version {
 		return r
 	}
@@ -113,6 +117,16 @@
 	return &q
 }
 
+// TargetLimitsReply returns the target limits, or nil unless they are newer than the version that
+// the process that asks holds.
+func TargetLimitsReply(s Source, held control.LeaderVersion) *control.TargetLimits {
+	l := s.TargetLimits()
+	if !l.Version.NewerThan(held) {
+		return nil
+	}
+	return &l
+}
+
 // Notifier signals events by closing a channel that all waiting goroutines share.
 type Notifier struct {
 	mu sync.Mutex
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -56,6 +56,8 @@
 	OnTargets func(list []rhubarbgate.Instance, requestedAt time.Time)
 	// OnQuarantine, if set, is called with each newer quarantine and the time as of which it is.
 	OnQuarantine func(q control.Quarantine, at time.Time)
+	// OnTargetLimits, if set, is called with newer target limits.
+	OnTargetLimits func(l control.TargetLimits)
 
 	mu                 sync.RWMutex
 	current            *config.Config
@@ -68,6 +70,7 @@
 	targetsRequestedAt time.Time
 	quarantine         control.Quarantine // as of quarantineAt
 	quarantineAt       time.Time
+	targetLimits       control.TargetLimits
 	needsFull          bool
 	notifier           Notifier
 }
@@ -125,7 +128,10 @@
 // poll polls one parent and reports whether to keep polling it.
 func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort) bool {
 	list, _ := w.Targets()
-	p := &control.Poll{Version: w.pollVersion(), Wait: pollHold, Targets: list.Digest, Quarantine: w.Quarantine(w.Clock.Now()).Version}
+	p := &control.Poll{
+		Version: w.pollVersion(), Wait: pollHold, Targets: list.Digest,
+		Quarantine: w.Quarantine(w.Clock.Now()).Version, Limits: w.TargetLimits().Version,
+	}
 	if w.Groups() == 0 {
 		p.Wait = 0
 	}
@@ -167,6 +173,7 @@
 	repliedAt := sent.Add(r.Held)
 	targetsChanged := w.applyTargets(r.Targets, repliedAt)
 	quarantineChanged := w.applyQuarantine(r.Quarantine, repliedAt)
+	limitsChanged := w.applyTargetLimits(r.Limits)
 	if len(r.Peers.Controls) > 0 {
 		w.peers = r.Peers
 		if w.OnPeers != nil {
@@ -182,7 +189,7 @@
 	if changed && w.OnApplied != nil {
 		w.OnApplied(w.current)
 	}
-	if changed || newNeeds || targetsChanged || quarantineChanged {
+	if changed || newNeeds || targetsChanged || quarantineChanged || limitsChanged {
 		w.notifier.Notify()
 	}
 	return r.Age < maxParentAge
@@ -229,6 +236,26 @@
 	return w.quarantine.Aged(now.Sub(w.quarantineAt))
 }
 
+// applyTargetLimits applies target limits that are newer than the current ones, and reports
+// whether they were. The lock is held.
+func (w *Watcher) applyTargetLimits(l *control.TargetLimits) bool {
+	if l == nil || !l.Version.NewerThan(w.targetLimits.Version) {
+		return false
+	}
+	w.targetLimits = *l
+	if w.OnTargetLimits != nil {
+		w.OnTargetLimits(*l)
+	}
+	return true
+}
+
+// TargetLimits implements Source.
+func (w *Watcher) TargetLimits() control.TargetLimits {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.targetLimits
+}
+
 // Targets implements Source.
 func (w *Watcher) Targets() (control.TargetList, time.Time) {
 	w.mu.RLock()
--- /dev/null
+++ b/internal/controller/targetlimits/claim.go
@@ -0,0 +1,101 @@
+package targetlimits
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+)
+
+const (
+	// claimDelay is the time for which further observations are collected into a claim.
+	claimDelay = 20 * time.Millisecond
+	// claimTimeout bounds one claim, including the search for the leader.
+	claimTimeout = time.Second
+	// statementTTL is how long what a response stated is worth reporting.
+	statementTTL = 10 * time.Second
+)
+
+// claim reports to the leader of the fleet group once. If that fails, the next claim follows soon.
+func (k *Keeper) claim(ctx context.Context) {
+	in := k.buildClaim()
+	if in == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if _, err := k.Client.ClaimLimits(ctx, in); err != nil {
+		k.Logger.WithError(err).Info("claiming a part of the targets' limits failed")
+	}
+}
+
+// buildClaim returns a claim, or nil if no target has a limit or this process needs none.
+func (k *Keeper) buildClaim() *control.ClaimLimits {
+	beside := ""
+	if k.Beside != nil {
+		if beside = k.Beside(); beside == "" {
+			return nil
+		}
+	}
+	wantsWork := k.HasWork == nil || k.HasWork()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.Clock.Now()
+	c := apportion.Claim{Process: k.Process, Beside: beside, Demand: map[string]float64{}}
+	for name, x := range k.targets {
+		if !k.isListed(x) && now.Sub(x.statedAt) >= statementTTL {
+			delete(k.targets, name)
+			continue
+		}
+		s := x.stated
+		if x.statedAt.IsZero() || now.Sub(x.statedAt) >= statementTTL {
+			continue
+		}
+		if s.Age = now.Sub(x.statedAt); x.listed && x.term < k.version.Term {
+			s.Held = x.share
+		}
+		c.Statements = append(c.Statements, s)
+	}
+	if len(k.targets) == 0 || !wantsWork {
+		return nil
+	}
+	for service, d := range k.demand {
+		d.decay(now)
+		c.Demand[service] = d.rate
+	}
+	return &control.ClaimLimits{Claim: c}
+}
+
+// Update applies the limits that the control hosts list. It ignores all but newer ones. A limit of an earlier leader lasts until the current one has it.
+func (k *Keeper) Update(l control.TargetLimits) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !l.Version.NewerThan(k.version) {
+		return
+	}
+	k.version = l.Version
+	now := k.Clock.Now()
+	listed := map[string]bool{}
+	for _, limit := range l.Limits {
+		listed[limit.Target] = true
+		x := k.targets[limit.Target]
+		if x == nil {
+			x = k.add(limit.Target, "")
+			x.tokens = 0
+		}
+		k.refill(x)
+		x.listed, x.share, x.term, x.listedAt = true, 0, l.Version.Term, now
+		if i := slices.IndexFunc(limit.Holders, func(h apportion.Holder) bool { return h.Process == k.Process }); i >= 0 {
+			x.share = limit.Holders[i].PerSecond
+		}
+	}
+	for name, x := range k.targets {
+		if x.listed && !listed[name] && (x.term == l.Version.Term || !k.isListed(x)) {
+			// The limit has ended.
+			delete(k.targets, name)
+		}
+	}
+	k.signal()
+}
--- a/internal/controller/targetlimits/keeper.go
+++ b/internal/controller/targetlimits/keeper.go
@@ -1,93 +1,244 @@
-// Package targetlimits keeps the rates that targets in need state in their responses.
+// Package targetlimits keeps this process within its part of the rates that targets in need state.
 package targetlimits
 
 import (
 	"context"
 	"expvar"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
 
-// summaryInterval is how often a process logs how many requests it sent to each target with a
-// limit.
-const summaryInterval = 4 * time.Second
+const (
+	// summaryInterval is how often a process logs how many requests it sent to each target with a
+	// limit.
+	summaryInterval = 4 * time.Second
+	// observationTTL is how long the newest response of a target counts, while the control hosts
+	// list no limit of it. It covers a report and the next poll several times.
+	observationTTL = 3 * time.Second
+	// earlierLeaderTTL is how long shares of an earlier leader are used.
+	earlierLeaderTTL = 5 * time.Second
+	// burstTime is the time for which unused shares accumulate, but up to one request at least.
+	burstTime = time.Second
+	// noShareRetryAfter is the Retry-After if this process has no share of any target: the time
+	// until the control hosts may have given it one.
+	noShareRetryAfter = time.Second
+	// demandHalfLife is the time in which past demand halves.
+	demandHalfLife = 2 * time.Second
+)
 
 // Keeper keeps the limits of the targets that one process sends requests to. Set the exported
 // fields before Run. A nil Keeper keeps nothing.
 type Keeper struct {
+	// Process identifies this process among all. Beside is the name of the target beside which it
+	// runs, or nil if it sends to all targets.
+	Process string
+	Beside  func() string
+	// HasWork, if set, reports whether the process wants a part of the rate of Beside.
+	HasWork func() bool
+	// Client calls the control hosts.
+	Client *control.Client
 	Clock  clockwork.Clock
 	Logger log.Interface
 
+	wake    chan struct{} // there is something to report
 	mu      sync.Mutex
 	targets map[string]*limited // by name of the target
+	demand  map[string]*demand  // by service
+	version control.LeaderVersion
 }
 
 // limited is a target with a limit.
 type limited struct {
-	// perSecond is the stated rate of requests of all processes together.
-	perSecond float64
+	service string
+	// stated is what the newest response said, at statedAt; zero if this process got none.
+	stated   apportion.Statement
+	statedAt time.Time
+	// listed says that the control hosts list the limit, and share is this process's part.
+	listed   bool
+	share    float64
+	term     uint64    // of the leader that listed it
+	listedAt time.Time // when the newest list with it came
+
+	tokens  float64
+	tokenAt time.Time
 	// sent counts this process's requests since the last summary.
 	sent int
 }
 
+// demand is a moving average of the rate of requests.
+type demand struct {
+	rate float64 // decaying sum of requests
+	at   time.Time
+}
+
 // NewKeeper returns a Keeper that publishes its counters in m.
-func NewKeeper(clock clockwork.Clock, logger log.Interface, m *expvar.Map) *Keeper {
-	k := &Keeper{Clock: clock, Logger: logger, targets: map[string]*limited{}}
+func NewKeeper(process string, c *control.Client, clock clockwork.Clock, logger log.Interface, m *expvar.Map) *Keeper {
+	k := &Keeper{
+		Process: process, Client: c, Clock: clock, Logger: logger,
+		wake: make(chan struct{}, 1), targets: map[string]*limited{}, demand: map[string]*demand{},
+	}
 	m.Set("TargetsLimited", expvar.Func(func() any {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		return len(k.targets)
+		n := 0
+		for _, x := range k.targets {
+			if k.isLimited(x) {
+				n++
+			}
+		}
+		return n
 	}))
 	return k
 }
 
 // Observe records what a response of a target says about its limit.
-func (k *Keeper) Observe(target string, perSecond float64, hasLimit bool) {
+func (k *Keeper) Observe(t *discovery.Target, perSecond float64, hasLimit bool) {
 	if k == nil {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	name := t.Name()
+	x := k.targets[name]
+	if x == nil {
+		if !hasLimit {
+			return
+		}
+		x = k.add(name, t.Instance.Service)
+	}
+	if x.stated.Limited != hasLimit {
+		k.Logger.WithFields(log.Fields{"target": name, "limited": hasLimit, "perSecond": perSecond}).Warn("target stated or ended a limit")
+		k.signal()
+	}
+	x.stated = apportion.Statement{Target: name, Service: x.service, PerSecond: perSecond, Limited: hasLimit}
+	x.statedAt = k.Clock.Now()
+}
+
+// add adds a target whose limit became known. The lock is held.
+func (k *Keeper) add(name, service string) *limited {
+	x := &limited{service: service, tokens: 1, tokenAt: k.Clock.Now()}
+	k.targets[name] = x
+	return x
+}
+
+// isListed reports whether the control hosts list a limit of the target. That of an earlier leader
+// counts for a while. The lock is held.
+func (k *Keeper) isListed(x *limited) bool {
+	return x.listed && (x.term == k.version.Term || k.Clock.Since(x.listedAt) < earlierLeaderTTL)
+}
+
+// isLimited reports whether the target has a limit. The lock is held.
+func (k *Keeper) isLimited(x *limited) bool {
+	return k.isListed(x) || x.stated.Limited && k.Clock.Since(x.statedAt) < observationTTL
+}
+
+// rate returns the rate at which this process may send to a limited target. The lock is held.
+func (k *Keeper) rate(x *limited) float64 {
+	if k.isListed(x) {
+		return x.share
+	}
+	return x.stated.PerSecond * apportion.InterimShare
+}
+
+// refill adds the tokens since the last call. The lock is held.
+func (k *Keeper) refill(x *limited) {
+	now := k.Clock.Now()
+	rate := k.rate(x)
+	x.tokens = math.Min(x.tokens+rate*now.Sub(x.tokenAt).Seconds(), math.Max(1, rate*burstTime.Seconds()))
+	x.tokenAt = now
+}
+
+// Available reports whether a request may be sent to the target now, and if not, after which time.
+func (k *Keeper) Available(target string) (ok bool, wait time.Duration) {
+	if k == nil {
+		return true, 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	x := k.targets[target]
-	switch {
-	case !hasLimit && x == nil:
-	case !hasLimit:
-		delete(k.targets, target)
-		k.Logger.WithField("target", target).Info("target states no limit any more")
-	case x == nil:
-		k.targets[target] = &limited{perSecond: perSecond}
-		k.Logger.WithField("target", target).WithField("perSecond", perSecond).Warn("target states a limit")
-	default:
-		x.perSecond = perSecond
+	if x == nil || !k.isLimited(x) {
+		return true, 0
+	}
+	k.refill(x)
+	if x.tokens >= 1 {
+		return true, 0
 	}
+	rate := k.rate(x)
+	if rate <= 0 {
+		return false, noShareRetryAfter
+	}
+	return false, time.Duration((1 - x.tokens) / rate * float64(time.Second))
 }
 
-// CountSent counts a request to a target.
-func (k *Keeper) CountSent(target string) {
+// Take spends a token of the target's limit, or returns false if there is none.
+func (k *Keeper) Take(target string) bool {
+	if k == nil {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x := k.targets[target]
+	if x == nil {
+		return true
+	}
+	if k.isLimited(x) {
+		k.refill(x)
+		if x.tokens < 1 {
+			return false
+		}
+		x.tokens--
+	}
+	x.sent++
+	return true
+}
+
+// CountDemand counts a request that needs a target of the service.
+func (k *Keeper) CountDemand(service string) {
 	if k == nil {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if x := k.targets[target]; x != nil {
-		x.sent++
+	d := k.demand[service]
+	if d == nil {
+		d = &demand{at: k.Clock.Now()}
+		k.demand[service] = d
 	}
+	d.decay(k.Clock.Now())
+	d.rate += math.Ln2 / demandHalfLife.Seconds()
 }
 
-// Run logs summaries until ctx ends.
+// decay reduces the rate by the time that has passed.
+func (d *demand) decay(now time.Time) {
+	d.rate *= math.Exp2(-now.Sub(d.at).Seconds() / demandHalfLife.Seconds())
+	d.at = now
+}
+
+// Run reports to the control hosts and logs summaries until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	t := k.Clock.NewTicker(summaryInterval)
-	defer t.Stop()
+	claims, summaries := k.Clock.NewTicker(apportion.ClaimInterval), k.Clock.NewTicker(summaryInterval)
+	defer claims.Stop()
+	defer summaries.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.Chan():
+		case <-summaries.Chan():
 			k.logSummary()
+			continue
+		case <-claims.Chan():
+		case <-k.wake:
+			k.Clock.Sleep(claimDelay)
 		}
+		k.claim(ctx)
 	}
 }
 
@@ -97,8 +248,18 @@
 	defer k.mu.Unlock()
 	for name, x := range k.targets {
 		if x.sent > 0 {
-			k.Logger.WithFields(log.Fields{"target": name, "perSecond": x.perSecond, "sent": x.sent, "interval": summaryInterval.String()}).Info("requests to a target with a limit")
+			k.Logger.WithFields(log.Fields{
+				"target": name, "perSecond": x.stated.PerSecond, "share": x.share, "sent": x.sent, "interval": summaryInterval.String(),
+			}).Info("requests to a target with a limit")
 		}
 		x.sent = 0
 	}
 }
+
+// signal makes Run claim at once.
+func (k *Keeper) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/controller/targetlimits/keeper_test.go
@@ -0,0 +1,127 @@
+package targetlimits
+
+import (
+	"expvar"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+)
+
+// newTestKeeper returns a Keeper of the process "me" and a target.
+func newTestKeeper() (*Keeper, *discovery.Target, *clockwork.FakeClock) {
+	clock, logger := clockwork.NewFakeClock(), &log.Logger{Handler: discard.New()}
+	table := &discovery.Table{Clock: clock, Logger: logger}
+	i := rhubarbgate.Instance{ID: "i", Service: "lm", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	table.Update([]rhubarbgate.Instance{i}, clock.Now())
+	return NewKeeper("me", nil, clock, logger, new(expvar.Map).Init()), table.Target(i), clock
+}
+
+// limits returns a list with one target, of which the process "me" has a share, or none if it is
+// negative.
+func limits(t *discovery.Target, term, number uint64, share float64) control.TargetLimits {
+	l := apportion.Limit{Target: t.Name(), PerSecond: 8, Holders: []apportion.Holder{{Process: "other", PerSecond: 1}}}
+	if share >= 0 {
+		l.Holders = append(l.Holders, apportion.Holder{Process: "me", PerSecond: share})
+	}
+	return control.TargetLimits{Version: control.LeaderVersion{Term: term, Number: number}, Limits: []apportion.Limit{l}}
+}
+
+// TestRequestsWithinShare guards against sending more than this process's part of a target's
+// limit, or less, and against a limit that outlives its end.
+func TestRequestsWithinShare(t *testing.T) {
+	none := control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 9}}
+	tests := []struct {
+		name string
+		act  func(k *Keeper, t *discovery.Target, clock *clockwork.FakeClock)
+		// atLeast and atMost are how many of 400 requests in 4 s are sent.
+		atLeast, atMost int
+	}{
+		{"no limit", func(*Keeper, *discovery.Target, *clockwork.FakeClock) {}, 400, 400},
+		{"own share", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, 2)) }, 7, 9},
+		{"large share", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, 50)) }, 190, 250},
+		{"share of others", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, -1)) }, 0, 0},
+		{"not divided yet", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Observe(x, 8, true) }, 6, 400},
+		{"ended, as the target says", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) {
+			k.Observe(x, 8, true)
+			k.Observe(x, 0, false)
+		}, 400, 400},
+		{"ended, as the control hosts say", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 2))
+			k.Update(none)
+		}, 400, 400},
+		{"older list", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 2, 2))
+			k.Update(limits(x, 1, 1, 50))
+		}, 7, 9},
+		{"new leader", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 2))
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
+		}, 7, 9},
+		{"new leader that divided the rate", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 2))
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
+			k.Update(limits(x, 2, 1, 4))
+		}, 15, 20},
+		{"new leader that found no limit", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 2))
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
+			clock.Advance(earlierLeaderTTL)
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2, Number: 1}})
+		}, 400, 400},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			k, x, clock := newTestKeeper()
+			test.act(k, x, clock)
+			sent := 0
+			for range 400 {
+				ok, wait := k.Available(x.Name())
+				qt.Assert(t, ok, qt.Equals, wait == 0)
+				taken := k.Take(x.Name())
+				qt.Assert(t, taken, qt.Equals, ok)
+				if taken {
+					sent++
+				}
+				clock.Advance(10 * time.Millisecond)
+			}
+			qt.Assert(t, sent >= test.atLeast && sent <= test.atMost, qt.IsTrue, qt.Commentf("%d requests", sent))
+		})
+	}
+}
+
+// TestClaims guards against claims that leave out what the control hosts divide by, and against
+// claims of processes that have no use for a share.
+func TestClaims(t *testing.T) {
+	k, x, clock := newTestKeeper()
+	qt.Assert(t, k.buildClaim(), qt.IsNil)
+	k.Observe(x, 3, true)
+	for range 100 {
+		k.CountDemand("lm")
+		clock.Advance(100 * time.Millisecond)
+		k.Observe(x, 3, true)
+	}
+	c := k.buildClaim().Claim
+	qt.Assert(t, c.Process, qt.Equals, "me")
+	qt.Assert(t, c.Statements, qt.HasLen, 1)
+	qt.Assert(t, c.Statements[0].PerSecond, qt.Equals, 3.0)
+	qt.Assert(t, c.Statements[0].Limited, qt.IsTrue)
+	qt.Assert(t, c.Demand["lm"] > 9 && c.Demand["lm"] < 11, qt.IsTrue, qt.Commentf("%v", c.Demand))
+
+	k.Update(limits(x, 1, 1, 2))
+	qt.Assert(t, k.buildClaim().Claim.Statements[0].Held, qt.Equals, 0.0)
+	k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
+	qt.Assert(t, k.buildClaim().Claim.Statements[0].Held, qt.Equals, 2.0)
+
+	k.HasWork = func() bool { return false }
+	qt.Assert(t, k.buildClaim(), qt.IsNil)
+}
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -27,6 +27,10 @@
 	// noTargetRetryAfter is the Retry-After for a service that has no free slot or no
 	// target: about the time for which a request holds a slot.
 	noTargetRetryAfter = 300 * time.Millisecond
+	// maxLimitWait bounds the Retry-After of a request for which all targets are at their limits,
+	// and limitRetryJitter its random part.
+	maxLimitWait     = 2 * time.Second
+	limitRetryJitter = 400 * time.Millisecond
 )
 
 // serve handles a request that passed the filters.
@@ -77,6 +81,7 @@
 func (s *Server) forward(x *Exchange) error {
 	q := &forwardedRequest{server: s, x: x, service: s.chooseService(x.Route.Split)}
 	q.request = s.targetRequest(x)
+	s.Limits.CountDemand(q.service)
 	var last *rhubarbgate.Error
 	for n := 1; n <= maxAttempts; n++ {
 		if n > 1 && !s.shouldRetry(q, last) {
@@ -178,9 +183,9 @@
 	if len(list) == 0 {
 		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target left, %d tried", q.service, len(q.tried)).WithRetryAfter(noTargetRetryAfter)
 	}
-	t := q.restarted
-	if q.restarted = nil; t == nil || !slices.Contains(list, t) {
-		t = list[s.Picker.Pick(rhubarbgate.PickRequest{Workspace: x.Workspace}, candidates)]
+	t, err := q.choose(list, candidates)
+	if err != nil {
+		return nil, err
 	}
 	if retryUnreached {
 		q.unreached = without(q.unreached, t)
@@ -194,10 +199,9 @@
 	ctx, cancel := deadline.WithTimeout(x.Context, s.Clock, remaining)
 	a := &attempt{forwardedRequest: q, target: t, cancel: cancel}
 	s.Targets.Begin(t)
-	s.Limits.CountSent(t.Name())
-	response, err := t.Client.Do(ctx, &r)
-	if err != nil {
-		e := rhubarbgate.AsError(err)
+	response, failure := t.Client.Do(ctx, &r)
+	if failure != nil {
+		e := rhubarbgate.AsError(failure)
 		switch {
 		case e.Verdict != rhubarbgate.NotRun:
 			q.possibleRuns++
@@ -212,6 +216,40 @@
 	return a, a.checkHead()
 }
 
+// choose returns the target for the next attempt and takes a token of its limit, if it states one.
+// Targets whose limit leaves no token to this entry are not chosen.
+func (q *forwardedRequest) choose(list []*discovery.Target, candidates []rhubarbgate.Candidate) (*discovery.Target, *rhubarbgate.Error) {
+	s := q.server
+	restarted := q.restarted
+	q.restarted = nil
+	if restarted != nil && slices.Contains(list, restarted) && s.Limits.Take(restarted.Name()) {
+		return restarted, nil
+	}
+	limited := 0
+	wait := maxLimitWait
+	for i := 0; i < len(list); {
+		ok, untilToken := s.Limits.Available(list[i].Name())
+		if ok {
+			i++
+			continue
+		}
+		limited++
+		wait = min(wait, untilToken)
+		list, candidates = slices.Delete(list, i, i+1), slices.Delete(candidates, i, i+1)
+	}
+	for len(list) > 0 {
+		i := s.Picker.Pick(rhubarbgate.PickRequest{Workspace: q.x.Workspace}, candidates)
+		if s.Limits.Take(list[i].Name()) {
+			return list[i], nil
+		}
+		// Another request has taken the token meanwhile.
+		limited++
+		list, candidates = slices.Delete(list, i, i+1), slices.Delete(candidates, i, i+1)
+	}
+	return nil, notRun(rhubarbgate.CodeOverloaded, "all %d targets of service %q that are left get as many requests as they take", limited, q.service).
+		WithRetryAfter(max(wait, noTargetRetryAfter) + s.jitter(limitRetryJitter))
+}
+
 // without returns the targets of list that are not excluded.
 func without(list []*discovery.Target, excluded ...*discovery.Target) []*discovery.Target {
 	var kept []*discovery.Target
@@ -231,7 +269,7 @@
 	if a.head.Leaving {
 		s.Targets.RecordLeaving(a.target)
 	}
-	s.Limits.Observe(a.target.Name(), a.head.Limit, a.head.HasLimit)
+	s.Limits.Observe(a.target, a.head.Limit, a.head.HasLimit)
 	if a.head.HasLoad {
 		s.Targets.RecordLoad(a.target, a.head.Load)
 	}
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -26,7 +26,9 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
@@ -640,3 +642,53 @@
 	qt.Assert(t, refusal.Verdict, qt.Equals, rhubarbgate.NotRun)
 	qt.Assert(t, refusal.RetryAfter > 50*time.Second, qt.IsTrue)
 }
+
+// TestLimitedTargets guards against sending a target more than this entry's share of the rate that
+// it states, and against holding a request that no target takes.
+func TestLimitedTargets(t *testing.T) {
+	tests := []struct {
+		name string
+		// shares are this entry's parts of the targets' rates, negative for no limit.
+		shares []float64
+		// want is how many of 20 requests that come at once each target runs.
+		want    []int
+		refused bool
+	}{
+		{"one of two", []float64{2, -1}, []int{2, 18}, false},
+		{"share of others", []float64{0, -1}, []int{0, 20}, false},
+		{"all", []float64{2, 2}, []int{2, 2}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			targets := []*platformtest.Target{{}, {}}
+			e := newEntry(t, targets...)
+			clock := clockwork.NewFakeClock()
+			e.server.Limits = targetlimits.NewKeeper("me", nil, clock, e.server.Logger, new(expvar.Map).Init())
+			l := control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 1}}
+			for i, share := range test.shares {
+				if share >= 0 {
+					name := fmt.Sprintf("i-%d@%v", i, targets[i].Address())
+					l.Limits = append(l.Limits, apportion.Limit{Target: name, Holders: []apportion.Holder{{Process: "me", PerSecond: share}}})
+				}
+			}
+			e.server.Limits.Update(l)
+			// Unused shares accumulate for a second.
+			clock.Advance(10 * time.Second)
+			refused := 0
+			for n := range 20 {
+				start := time.Now()
+				status, body, err := e.send(context.Background(), "unsafe", fmt.Sprint(n), secret)
+				qt.Assert(t, err, qt.IsNil)
+				if status != http.StatusOK {
+					refused++
+					qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", body))
+					qt.Assert(t, time.Since(start) < time.Second, qt.IsTrue)
+				}
+			}
+			qt.Assert(t, refused > 0, qt.Equals, test.refused)
+			for i, x := range targets {
+				qt.Assert(t, x.Runs(), qt.HasLen, test.want[i], qt.Commentf("target %d", i))
+			}
+		})
+	}
+}
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -97,10 +97,10 @@
 	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
 	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
 	table := d.table()
-	keeper := targetlimits.NewKeeper(d.Clock, d.Logger, d.Metrics)
+	keeper := targetlimits.NewKeeper(name, controls, d.Clock, d.Logger, d.Metrics)
 	recorder := crashes.NewRecorder(table, controls, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
-		OnTargets: table.Update, OnQuarantine: recorder.Update,
+		OnTargets: table.Update, OnQuarantine: recorder.Update, OnTargetLimits: keeper.Update,
 		Wire: d.Wire, Parents: d.Control, Clock: d.Clock, Random: derivedRandom(d.Random, 1), Logger: d.Logger,
 		Failures: newCounter(d.Metrics, "ConfigPollFailures"),
 		OnPeers: func(p control.Peers) {
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -134,6 +134,7 @@
 	fleet         *fleet.Machine // nil on store hosts
 	targets       atomic.Pointer[timedTargetList]
 	quarantine    quarantineState
+	limits        targetLimitsState
 	groups        []*raft.Group // by group ID; the fleet group is nil on store hosts
 	jobGroups     []*leadership // by group ID - 1
 	transport     *peer.Transport
@@ -367,6 +368,7 @@
 		}
 		h.updateBacklog()
 		h.updateQuarantine()
+		h.updateTargetLimits()
 		h.planMembers()
 	}
 }
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -107,7 +107,10 @@
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	sent := h.Clock.Now()
-	r, err := h.client.Register(call, &control.Register{Host: h.hostRecord(), Leads: h.ledGroups(), Targets: h.targetsDigest(), Quarantine: h.Quarantine(sent).Version})
+	r, err := h.client.Register(call, &control.Register{
+		Host: h.hostRecord(), Leads: h.ledGroups(), Targets: h.targetsDigest(),
+		Quarantine: h.Quarantine(sent).Version, Limits: h.TargetLimits().Version,
+	})
 	if err != nil {
 		return false
 	}
@@ -116,6 +119,7 @@
 	h.roster.mu.Unlock()
 	h.applyTargets(r.Targets, sent)
 	h.applyQuarantine(r.Quarantine, sent)
+	h.applyTargetLimits(r.Limits, sent)
 	controls := addresses(r.Hosts, fleet.ControlHost)
 	h.client.SetHosts(controls)
 	if h.ControlHostsUpdated != nil {
@@ -269,6 +273,7 @@
 	if in.Host.Kind == fleet.ControlHost {
 		r.Targets = configuration.TargetListReply(h, h.Clock.Now(), in.Targets)
 		r.Quarantine = configuration.QuarantineReply(h, h.Clock.Now(), in.Quarantine)
+		r.Limits = configuration.TargetLimitsReply(h, in.Limits)
 	}
 	return r, nil
 }
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
@@ -95,6 +96,23 @@
 	return len(w.leased) > 0
 }
 
+// targetName returns the name of this side's target, empty while it is not listed.
+func (h *Host) targetName() string {
+	i, ok := h.Targets.Find(h.Target)
+	if !ok {
+		return ""
+	}
+	return discovery.TargetName(i)
+}
+
+// limitAvailable reports whether the target takes another request, and if not, after which time.
+func (h *Host) limitAvailable() (ok bool, wait time.Duration) {
+	if h.Probe == nil {
+		return true, 0
+	}
+	return h.limits.Available(h.targetName())
+}
+
 // targetUsable reports whether the target is listed and not leaving.
 func (h *Host) targetUsable() bool {
 	i, ok := h.Targets.Find(h.Target)
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -186,12 +187,13 @@
 	if h.Probe != nil {
 		controls := &control.Client{Wire: h.wire, Hosts: h.Parents, Clock: h.Clock}
 		h.crashes = crashes.NewRecorder(h.Targets, controls, h.Clock, h.Logger, h.Metrics)
-		h.limits = targetlimits.NewKeeper(h.Clock, h.Logger, h.Metrics)
+		h.limits = targetlimits.NewKeeper(strconv.FormatUint(h.Random.Uint64(), 36), controls, h.Clock, h.Logger, h.Metrics)
+		h.limits.Beside, h.limits.HasWork = h.targetName, func() bool { return h.worker.hadItems() }
 		h.watcher.OnPeers = func(p control.Peers) {
 			h.control.SetHosts(p.Stores)
 			controls.SetHosts(p.Controls)
 		}
-		h.watcher.OnTargets, h.watcher.OnQuarantine = h.Targets.Update, h.crashes.Update
+		h.watcher.OnTargets, h.watcher.OnQuarantine, h.watcher.OnTargetLimits = h.Targets.Update, h.crashes.Update, h.limits.Update
 		h.Targets.Confirm = func(_ context.Context, i rhubarbgate.Instance) bool { return i.Address == h.Target }
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -13,7 +13,6 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
-	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/http/events"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
@@ -129,7 +128,6 @@
 
 // exchange sends an item to the target and reads the response.
 func (w *worker) exchange(ctx context.Context, t *task, q *target.Request, i rhubarbgate.Instance, id string, onEvent func()) *rhubarbgate.Error {
-	w.host.limits.CountSent(discovery.TargetName(i))
 	a, err := w.host.targetClient.Do(ctx, q)
 	if err != nil {
 		return rhubarbgate.AsError(err)
@@ -188,7 +186,9 @@
 // checkHead classifies the head of an item's response.
 func (w *worker) checkHead(a *target.Response, i rhubarbgate.Instance, id string) *rhubarbgate.Error {
 	head := w.host.Dialect.DecodeResponse(a.Status, a.Header)
-	w.host.limits.Observe(discovery.TargetName(i), head.Limit, head.HasLimit)
+	if x := w.host.Targets.Target(i); x != nil {
+		w.host.limits.Observe(x, head.Limit, head.HasLimit)
+	}
 	if head.Leaving {
 		w.host.Targets.RecordLeavingAt(i.ID, i.Address)
 	}
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -37,6 +37,10 @@
 	// spareItems is the number of items leased in excess of the free slots, except by
 	// a batch-only side.
 	spareItems = 4
+	// workTTL is how long after its last item a side claims a share of its target's limit.
+	workTTL = 5 * time.Second
+	// askInterval is how often a side without a share requests one item.
+	askInterval = time.Second
 	// returnTimeout bounds one call that returns leases, reports outcomes or commits
 	// the start of an item.
 	returnTimeout = 3 * time.Second
@@ -50,10 +54,12 @@
 	// incarnation distinguishes this process from an earlier one of the same target.
 	incarnation string
 
-	mu     sync.Mutex
-	leased map[jobs.ItemRef]*task // leased and not reported yet
-	queued []*task                // leased and waiting for a slot
-	tasks  conc.WaitGroup
+	mu       sync.Mutex
+	leased   map[jobs.ItemRef]*task // leased and not reported yet
+	queued   []*task                // leased and waiting for a slot
+	tasks    conc.WaitGroup
+	leasedAt time.Time // when an item was last leased
+	askedAt  time.Time // when items were last requested without a share of the target's limit
 	// outcomes are the results not yet reported, each with its job group.
 	outcomes []groupOutcome
 	flush    chan struct{}
@@ -146,12 +152,17 @@
 // waitForChange waits until a slot may be free for a queued task, a task finishes,
 // the watcher reports a change, the backoff elapses or ctx ends.
 func (w *worker) waitForChange(ctx context.Context, backoff time.Duration) {
-	t := w.clock.NewTimer(backoff)
-	defer t.Stop()
 	var slotFreed <-chan struct{}
 	if w.hasQueued() {
-		slotFreed = w.host.keeper.BatchReady()
+		// A free slot is of no use while the target's limit leaves no token.
+		if ok, untilToken := w.host.limitAvailable(); ok {
+			slotFreed = w.host.keeper.BatchReady()
+		} else {
+			backoff = min(backoff, untilToken)
+		}
 	}
+	t := w.clock.NewTimer(backoff)
+	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.Chan():
@@ -179,11 +190,34 @@
 		return 0
 	}
 	if w.host.Probe != nil {
-		return max(0, free-len(w.queued))
+		return min(max(0, free-len(w.queued)), w.allowedByLimit())
 	}
 	return max(0, free+spareItems-len(w.queued))
 }
 
+// allowedByLimit returns how many items may be leased under the target's limit. Without a share of
+// the limit it is one item now and then, to find out whether there is work to claim a share for.
+// The lock is held.
+func (w *worker) allowedByLimit() int {
+	ok, _ := w.host.limitAvailable()
+	now := w.clock.Now()
+	switch {
+	case ok:
+		return w.host.Slots
+	case now.Sub(w.leasedAt) < workTTL || now.Sub(w.askedAt) < askInterval:
+		return 0
+	}
+	w.askedAt = now
+	return 1
+}
+
+// hadItems reports whether this side leased items a short time ago.
+func (w *worker) hadItems() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.leased) > 0 || w.clock.Since(w.leasedAt) < workTTL
+}
+
 // needs lists the models and routes of the target for which the backlog has items
 // or, with a Probe, all batch-job routes of the target.
 func (w *worker) needs() []string {
@@ -246,7 +280,7 @@
 	t.output = decodeOutput(g.Progress)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.leased[g.Ref] = t
+	w.leased[g.Ref], w.leasedAt = t, w.clock.Now()
 	w.queued = append(w.queued, t)
 }
 
@@ -260,11 +294,18 @@
 		}
 		t := w.queued[0]
 		w.mu.Unlock()
+		if ok, _ := w.host.limitAvailable(); !ok {
+			return
+		}
 		work := rhubarbgate.Work{Class: rhubarbgate.Batch, Workspace: t.grant.Workspace, Deadline: t.grant.Due, Progress: len(t.output.Text)}
 		p := w.host.keeper.Acquire(t.ctx, work)
 		if p == nil && t.ctx.Err() == nil {
 			return
 		}
+		if p != nil && w.host.Probe != nil && !w.host.limits.Take(w.host.targetName()) {
+			p.Release()
+			return
+		}
 		w.setSlot(t, p)
 		if p != nil {
 			w.tasks.Go(func() { w.runTask(ctx, t, p) })
--- a/internal/role/side/worker_test.go
+++ b/internal/role/side/worker_test.go
@@ -8,6 +8,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
+	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
 )
 
 // TestSetSlotKeepsRequeuedTask guards against removing the wrong task from the
@@ -22,3 +25,40 @@
 	qt.Assert(t, len(w.queued), qt.Equals, 1)
 	qt.Assert(t, w.queued[0] == preempted, qt.IsTrue)
 }
+
+// TestItemsKeepToTheTargetsLimit guards against batch items on top of what a target takes, and
+// against a side that never finds out that it has items to claim a share for.
+func TestItemsKeepToTheTargetsLimit(t *testing.T) {
+	tests := []struct {
+		name  string
+		share float64
+		// want are the items that may be leased at first, at once afterwards, and later.
+		want [3]int
+	}{
+		{"share", 2, [3]int{8, 8, 8}},
+		{"no share", 0, [3]int{1, 0, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			w, task := newBatchOnlyWorker(t, &platformtest.Target{}, clock)
+			w.host.Slots = 8
+			l := apportion.Limit{Target: w.host.targetName(), Holders: []apportion.Holder{{Process: w.host.limits.Process, PerSecond: test.share}}}
+			w.host.limits.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 1}, Limits: []apportion.Limit{l}})
+			clock.Advance(2 * askInterval)
+			first, second := w.allowedByLimit(), w.allowedByLimit()
+			clock.Advance(askInterval)
+			qt.Assert(t, [3]int{first, second, w.allowedByLimit()}, qt.Equals, test.want)
+
+			qt.Assert(t, w.hadItems(), qt.IsFalse)
+			w.addTask(task.grant, 1, clock.Now().Add(leaseTTL))
+			qt.Assert(t, w.hadItems(), qt.IsTrue)
+			clock.Advance(workTTL)
+			qt.Assert(t, w.hadItems(), qt.IsTrue, qt.Commentf("an item is leased"))
+			if test.share == 0 {
+				w.startQueued(context.Background())
+				qt.Assert(t, w.hasQueued(), qt.IsTrue)
+			}
+		})
+	}
+}
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -269,6 +269,11 @@
 	return call[CrashesReply](ctx, c, FleetGroup, MethodCrashes, in)
 }
 
+// ClaimLimits claims parts of the targets' limits from the leader of the fleet group.
+func (c *Client) ClaimLimits(ctx context.Context, in *ClaimLimits) (*ClaimLimitsReply, error) {
+	return call[ClaimLimitsReply](ctx, c, FleetGroup, MethodLimits, in)
+}
+
 // Document returns the newest configuration document as the operator sent it.
 func (c *Client) Document(ctx context.Context) (*DocumentReply, error) {
 	return call[DocumentReply](ctx, c, FleetGroup, MethodDocument, &Document{})
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -9,6 +9,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
+	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/state/burn"
@@ -34,6 +35,7 @@
 	MethodDocument = "/control/Document"
 	MethodRetire   = "/control/Retire"
 	MethodCrashes  = "/control/Crashes"
+	MethodLimits   = "/control/ClaimLimits"
 )
 
 // FleetGroup is the ID of the Raft group that holds the configuration and the list of
@@ -70,6 +72,8 @@
 	Targets uint64 `msgpack:",omitempty"`
 	// Quarantine is the version of the quarantine that the polling process holds.
 	Quarantine LeaderVersion
+	// Limits is the version of the target limits that the polling process holds.
+	Limits LeaderVersion
 }
 
 // PollReply carries the bundles after the polled version or, if they are no longer
@@ -94,8 +98,22 @@
 	Targets *TargetList
 	// Quarantine is nil if the polling process holds this version or a newer one.
 	Quarantine *Quarantine `msgpack:",omitempty"`
+	// Limits is nil if the polling process holds this version or a newer one.
+	Limits *TargetLimits `msgpack:",omitempty"`
 }
 
+// TargetLimits lists the targets that state a limit, and which processes send to them how much.
+type TargetLimits struct {
+	Version LeaderVersion
+	Limits  []apportion.Limit
+}
+
+// ClaimLimits claims parts of the targets' limits from the leader of the fleet group.
+type ClaimLimits struct{ Claim apportion.Claim }
+
+// ClaimLimitsReply is the reply to ClaimLimits. The limits follow with polls.
+type ClaimLimitsReply struct{ Routing }
+
 // LeaderVersion orders what all leaders of the fleet group have published: by the leader's term,
 // then by the changes that this leader made.
 type LeaderVersion struct{ Term, Number uint64 }
@@ -164,8 +182,9 @@
 	Leads []GroupMembers
 	// Targets is the digest of the list of targets that a control host holds.
 	Targets uint64 `msgpack:",omitempty"`
-	// Quarantine is the version of the quarantine that a control host holds.
-	Quarantine LeaderVersion
+	// Quarantine and Limits are the versions of the quarantine and of the target limits that a
+	// control host holds.
+	Quarantine, Limits LeaderVersion
 }
 
 // GroupMembers is the membership of a job group, as reported by its leader in Term.
@@ -183,8 +202,9 @@
 	First *fleet.InitialStoreHosts
 	// Targets is the leader's list of targets, for control hosts.
 	Targets *TargetList `msgpack:",omitempty"`
-	// Quarantine is that of the leader, for control hosts that hold an older one.
-	Quarantine *Quarantine `msgpack:",omitempty"`
+	// Quarantine and Limits are those of the leader, for control hosts that hold older ones.
+	Quarantine *Quarantine   `msgpack:",omitempty"`
+	Limits     *TargetLimits `msgpack:",omitempty"`
 }
 
 // HostState is a host and the time since the leader last received its Register, or since
