soak: faults in overlapping series, callers that keep their connections, targets with limits, sizes

The soak injected one fault after the other, its callers opened a connection for each request, and no target stated a limit: none of these could show what callers and back ends saw lately.

--- a/internal/command/rhubarbgate/soak.go
+++ b/internal/command/rhubarbgate/soak.go
@@ -17,6 +17,7 @@
 	var seed uint64
 	var seeds int
 	var duration time.Duration
+	var size, injectors int
 	var dir string
 	c := &cobra.Command{
 		Use:   "soak",
@@ -27,6 +28,8 @@
 	f.Uint64Var(&seed, "seed", 1, "first seed")
 	f.IntVar(&seeds, "seeds", 1, "number of consecutive seeds to run, one after another")
 	f.DurationVar(&duration, "duration", 20*time.Second, "how long faults are injected, per seed")
+	f.IntVar(&size, "size", 1, "multiplies the numbers of entries, targets with their sides, and callers")
+	f.IntVar(&injectors, "injectors", 0, "series of faults injected at the same time; 0 means 2")
 	f.StringVar(&dir, "dir", "", "folder for data and logs; empty means a temporary one; each seed's subfolder is removed if its checks pass, and if all checks pass, the whole folder is removed with everything in it")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		binary, err := os.Executable()
@@ -44,7 +47,7 @@
 			if err := os.MkdirAll(sub, 0o700); err != nil {
 				return errors.Trace(err)
 			}
-			s := &fleet.Soak{Binary: binary, Dir: sub, Seed: seed + i, Duration: duration, Clock: clockwork.NewRealClock(), Logger: newLogger(os.Stderr, "soak")}
+			s := &fleet.Soak{Binary: binary, Dir: sub, Seed: seed + i, Duration: duration, Size: size, Injectors: injectors, Clock: clockwork.NewRealClock(), Logger: newLogger(os.Stderr, "soak")}
 			r, err := s.Run(c.Context())
 			if err != nil {
 				return errors.Annotatef(err, "logs in %s", sub)
--- a/internal/role/entry/limit_test.go
+++ b/internal/role/entry/limit_test.go
@@ -56,7 +56,10 @@
 			ended := time.Now()
 			used := 0
 			for i, x := range f.targets[:test.limited] {
-				arrivals := x.LimitedArrivals()
+				var arrivals []time.Time
+				for _, a := range x.LimitedArrivals() {
+					arrivals = append(arrivals, a.At)
+				}
 				most := maxInWindow(arrivals, binding)
 				qt.Check(t, float64(most) <= 1.5*perSecond*limitWindow.Seconds()+5, qt.IsTrue, qt.Commentf("target %d got %d requests in %v", i, most, limitWindow))
 				used += len(slices.DeleteFunc(arrivals, func(at time.Time) bool { return at.Before(binding) }))
--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -10,10 +10,18 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
 )
 
-// sendRequests sends the requests of one caller, one after the other, until ctx is done.
+// sendRequests sends the requests of one caller, one after the other, until ctx is done. Every
+// second caller keeps its connection and uses it as long as the entry lets it, also if the
+// balancer has taken that out of rotation.
 func (s *Soak) sendRequests(ctx context.Context, caller int, random *rand.Rand) {
+	client, keeps := s.client, caller%2 == 0
+	if keeps {
+		client = platformtest.NewKeepingClient()
+	}
+	entry := s.chooseEntry(random)
 	routes := []string{"safe", "unsafe", "stream", "resume"}
 	for n := 0; ctx.Err() == nil; n++ {
 		workspace, key := "one", "key-one-a"
@@ -29,7 +37,10 @@
 		}
 		id := fmt.Sprintf("c%d-%d", caller, n)
 		parts := []string{fmt.Sprintf("common-%d", random.IntN(commonParts)), fmt.Sprintf("subject-%d", random.IntN(subjectParts)), id}
-		req := s.sendPrompt(context.WithoutCancel(ctx), s.chooseEntry(random), routes[random.IntN(len(routes))], id, workspace, key, timeout, parts)
+		req := s.sendPrompt(context.WithoutCancel(ctx), client, entry, routes[random.IntN(len(routes))], id, workspace, key, timeout, parts)
+		if !keeps || req.response.Close || req.response.Err != nil {
+			entry = s.chooseEntry(random)
+		}
 		if req.response.Err != nil || req.response.Status != 200 {
 			s.Clock.Sleep(time.Duration(20+random.IntN(60)) * time.Millisecond)
 		}
@@ -51,18 +62,18 @@
 		id := fmt.Sprintf("crash-%d", n)
 		parts := []string{fmt.Sprintf("common-%d", random.IntN(commonParts)), crashPart, id}
 		tasks.Go(func() {
-			s.sendPrompt(context.WithoutCancel(ctx), entry, route, id, "one", "key-one-a", callerTimeout, parts)
+			s.sendPrompt(context.WithoutCancel(ctx), s.client, entry, route, id, "one", "key-one-a", callerTimeout, parts)
 		})
 	}
 }
 
 // send sends one request without a prompt, as sendPrompt does.
 func (s *Soak) send(ctx context.Context, entry int, route, id, workspace, key string, timeout time.Duration) *sentRequest {
-	return s.sendPrompt(ctx, entry, route, id, workspace, key, timeout, nil)
+	return s.sendPrompt(ctx, s.client, entry, route, id, workspace, key, timeout, nil)
 }
 
 // sendPrompt sends one request to an entry and records the response that its caller received.
-func (s *Soak) sendPrompt(ctx context.Context, entry int, route, id, workspace, key string, timeout time.Duration, parts []string) *sentRequest {
+func (s *Soak) sendPrompt(ctx context.Context, client *platformtest.Client, entry int, route, id, workspace, key string, timeout time.Duration, parts []string) *sentRequest {
 	p := s.entries[entry]
 	req := &sentRequest{id: id, entry: p, route: route, workspace: workspace, key: key, sentAt: s.Clock.Now()}
 	callCtx, cancel := deadline.WithTimeout(ctx, s.Clock, timeout)
@@ -70,7 +81,7 @@
 	s.mu.Lock()
 	stoppingAtStart, faultsAtStart := s.gracefullyStopping[p], s.faultCount
 	s.mu.Unlock()
-	req.response = s.client.SendPrompt(callCtx, netip.AddrPortFrom(p.address, callerPort), route, id, key, timeout, parts)
+	req.response = client.SendPrompt(callCtx, netip.AddrPortFrom(p.address, callerPort), route, id, key, timeout, parts)
 	// The entry applies the same timeout and may end the request slightly before the
 	// caller does, hence the margin of a tenth.
 	req.pastDeadline = callCtx.Err() != nil || s.Clock.Since(req.sentAt) > timeout*9/10
@@ -87,11 +98,11 @@
 // chooseEntry returns a random entry as the balancer does: if it is out of rotation,
 // the next one takes its place.
 func (s *Soak) chooseEntry(random *rand.Rand) int {
-	i := random.IntN(entryCount)
+	i := random.IntN(len(s.entries))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unready[s.entries[i]] {
-		i = (i + 1) % entryCount
+		i = (i + 1) % len(s.entries)
 	}
 	return i
 }
@@ -109,12 +120,12 @@
 			j.items = append(j.items, fmt.Sprintf("%s%s-%d", prefix, j.id, i))
 		}
 		for range 4 {
-			if s.submit(ctx, j, random.IntN(entryCount)) && random.IntN(3) > 0 {
+			if s.submit(ctx, j, random.IntN(len(s.entries))) && random.IntN(3) > 0 {
 				break
 			}
 		}
 		s.recordJob(j)
-		s.readJobs(ctx, random.IntN(entryCount))
+		s.readJobs(ctx, random.IntN(len(s.entries)))
 		s.Clock.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
 }
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -195,6 +195,58 @@
 	return len(crashes), late
 }
 
+// limitWindow is the time over which the requests that a limited target gets are counted.
+const limitWindow = 4 * time.Second
+
+// verifyLimits checks that targets that state a limit get no more than that allows, half as much
+// again and five requests, apart from requests of processes that were disturbed shortly before.
+func (s *Soak) verifyLimits() {
+	senders := map[string]*process{}
+	for _, req := range s.history.requests {
+		senders[req.id] = req.entry
+	}
+	type period struct {
+		instance string
+		since    time.Time
+	}
+	for i, t := range s.targets {
+		arrivals := map[period][]platformtest.Arrival{}
+		for _, a := range t.LimitedArrivals() {
+			k := period{a.Instance, a.LimitedSince}
+			arrivals[k] = append(arrivals[k], a)
+		}
+		for k, list := range arrivals {
+			binding := list[0].At.Add(noticeTime)
+			var counted []time.Time
+			for _, a := range list {
+				sender := s.sides[i] // of items, which have no entry
+				if p, ok := senders[a.ID]; ok {
+					sender = p
+				}
+				if a.At.After(binding) && !s.disturbed([]*process{sender}, a.At.Add(-limitWindow-noticeTime), a.At) {
+					counted = append(counted, a.At)
+				}
+			}
+			allowed := 1.5*targetLimit*limitWindow.Seconds() + 5
+			if most := mostInWindow(counted); float64(most) > allowed {
+				s.history.addViolation("target %s, limited to %g requests a second, got %d in %v", k.instance, targetLimit, most, limitWindow)
+			}
+		}
+	}
+}
+
+// mostInWindow returns the most of the times, which are in order, that lie within a limitWindow.
+func mostInWindow(times []time.Time) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // responseBody returns the complete response body of a request.
 func responseBody(route, id string) string {
 	if route == "safe" || route == "unsafe" {
--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -2,40 +2,74 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
-// injectFaults injects random faults, one after the other, for the duration of the run.
+// injectFaults runs the injectors for the duration of the run.
 func (s *Soak) injectFaults(ctx context.Context) {
 	until := s.Clock.Now().Add(s.Duration)
-	version := uint64(1)
-	for s.Clock.Now().Before(until) && ctx.Err() == nil {
-		switch s.random.IntN(8) {
+	s.version.Store(1)
+	var injectors conc.WaitGroup
+	for i := range s.Injectors {
+		random := rand.New(rand.NewPCG(s.Seed, uint64(2000+i)))
+		injectors.Go(func() {
+			for s.Clock.Now().Before(until) && ctx.Err() == nil {
+				s.injectSeries(ctx, random)
+				s.Clock.Sleep(time.Duration(300+random.IntN(1200)) * time.Millisecond)
+			}
+		})
+	}
+	injectors.Wait()
+}
+
+// injectSeries injects one to three faults, which follow each other at once.
+func (s *Soak) injectSeries(ctx context.Context, random *rand.Rand) {
+	for range 1 + random.IntN(6)/3 {
+		switch random.IntN(9) {
 		case 0, 1:
-			s.restart(s.pick(s.processes()), syscall.SIGKILL)
+			s.withProcess(random, s.processes(), func(p *process) { s.restart(p, syscall.SIGKILL, random) })
 		case 2:
-			s.freeze(s.pick(s.processes()))
+			s.withProcess(random, s.processes(), func(p *process) { s.freeze(p, random) })
 		case 3:
-			s.restart(s.pick(s.entries), syscall.SIGTERM)
+			s.withProcess(random, s.entries, func(p *process) { s.restart(p, syscall.SIGTERM, random) })
 		case 4:
-			s.restart(s.pick(s.processes()), syscall.SIGTERM)
+			s.withProcess(random, s.processes(), func(p *process) { s.restart(p, syscall.SIGTERM, random) })
 		case 5:
-			s.drainTarget()
+			s.drainTarget(random)
 		case 6:
-			version += 1 + s.random.Uint64N(4)
-			s.changeKeys(ctx, version)
+			s.changeKeys(ctx, 1+random.Uint64N(4))
 		case 7:
-			s.pick(s.processes()).signal(syscall.SIGHUP)
+			s.withProcess(random, s.processes(), func(p *process) { p.signal(syscall.SIGHUP) })
+		case 8:
+			s.limitTarget(random)
 		}
-		s.Clock.Sleep(time.Duration(300+s.random.IntN(1200)) * time.Millisecond)
 	}
 }
 
-// pick returns a random process of the list.
-func (s *Soak) pick(l []*process) *process { return l[s.random.IntN(len(l))] }
+// withProcess calls f with a random process of the list that no other injector deals with.
+func (s *Soak) withProcess(random *rand.Rand, list []*process, f func(p *process)) {
+	p := list[random.IntN(len(list))]
+	s.mu.Lock()
+	free := !s.faulted[p]
+	s.faulted[p] = true
+	s.mu.Unlock()
+	if !free {
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.faulted[p] = false
+	}()
+	f(p)
+}
 
 // recordFault counts and logs a fault of a process other than the graceful stop of an
 // entry.
@@ -77,13 +111,17 @@
 // restart stops a process with the signal and starts it again after a random pause. An
 // entry that receives SIGTERM is taken out of rotation after balancerLag and put back
 // once it is restarted.
-func (s *Soak) restart(p *process, signal syscall.Signal) {
+func (s *Soak) restart(p *process, signal syscall.Signal, random *rand.Rand) {
 	defer s.disturb(p)()
 	if signal == syscall.SIGTERM && strings.HasPrefix(p.name, "entry") {
 		s.mu.Lock()
 		s.gracefullyStopping[p] = true
 		s.mu.Unlock()
 		s.Logger.WithField("process", p.name).Info("stopping entry gracefully")
+		if random.IntN(3) == 0 {
+			// Settings may change while an entry stops.
+			s.Clock.AfterFunc(time.Duration(random.IntN(2000))*time.Millisecond, func() { p.signal(syscall.SIGHUP) })
+		}
 		balancerTimer := s.Clock.AfterFunc(balancerLag, func() { s.setUnready(p, true) })
 		p.stop(s.Clock, stopTimeout)
 		balancerTimer.Stop()
@@ -99,7 +137,7 @@
 			p.kill()
 		}
 	}
-	s.Clock.Sleep(time.Duration(s.random.IntN(500)) * time.Millisecond)
+	s.Clock.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
 	if err := p.start(s.Binary); err != nil {
 		s.history.addViolation("%s does not start: %v", p.name, err)
 	}
@@ -113,29 +151,41 @@
 }
 
 // freeze suspends a process with SIGSTOP for 0.5 to 3 seconds.
-func (s *Soak) freeze(p *process) {
+func (s *Soak) freeze(p *process, random *rand.Rand) {
 	defer s.disturb(p)()
 	s.recordFault("freeze", p)
 	p.signal(syscall.SIGSTOP)
-	s.Clock.Sleep(time.Duration(500+s.random.IntN(2500)) * time.Millisecond)
+	s.Clock.Sleep(time.Duration(500+random.IntN(2500)) * time.Millisecond)
 	p.signal(syscall.SIGCONT)
 }
 
 // drainTarget lists a target as draining for 0.5 to 3.5 seconds, then as ready again.
-func (s *Soak) drainTarget() {
-	t := s.targets[s.random.IntN(targetCount)]
+func (s *Soak) drainTarget(random *rand.Rand) {
+	t := s.targets[random.IntN(len(s.targets))]
 	s.Logger.WithField("target", t.Instance).Info("draining target")
 	s.mu.Lock()
 	s.faultCount++
 	s.mu.Unlock()
 	t.SetDraining(true)
-	s.Clock.Sleep(time.Duration(500+s.random.IntN(3000)) * time.Millisecond)
+	s.Clock.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
 	t.SetDraining(false)
 }
 
-// changeKeys commits a configuration. The first call withdraws a key of workspace one;
-// later ones only raise the version.
-func (s *Soak) changeKeys(ctx context.Context, version uint64) {
+// limitTarget makes a target state a limit for 4 to 9 seconds.
+func (s *Soak) limitTarget(random *rand.Rand) {
+	t := s.targets[random.IntN(len(s.targets))]
+	s.Logger.WithField("target", t.Instance).Info("limiting target")
+	t.SetLimit(strconv.FormatFloat(targetLimit, 'f', 1, 64))
+	s.Clock.Sleep(time.Duration(4000+random.IntN(5000)) * time.Millisecond)
+	t.SetLimit("")
+}
+
+// changeKeys commits a configuration with a version that is higher by step. The first call
+// withdraws a key of workspace one; later ones only raise the version.
+func (s *Soak) changeKeys(ctx context.Context, step uint64) {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+	version := s.version.Add(step)
 	if len(s.keys["one"]) == 2 {
 		s.keys["one"] = []string{"key-one-a"}
 		if s.configure(ctx, version, s.Clock.Now().Add(convergenceTimeout)) {
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -18,16 +20,16 @@
 )
 
 const (
-	controlCount, storeCount, entryCount, targetCount = 3, 4, 2, 3
+	controlCount, storeCount = 3, 4
+	// entriesPerSize, targetsPerSize and callersPerSize are multiplied by Soak.Size. A caller
+	// sends one request at a time.
+	entriesPerSize, targetsPerSize, callersPerSize = 2, 3, 8
 	// streamEvents and eventInterval are the number of events of a target's streams and
 	// the time between them.
 	streamEvents  = 12
 	eventInterval = 10 * time.Millisecond
 	// unrunnablePrefix marks items that the targets refuse for good, with status 422.
 	unrunnablePrefix = "never-"
-	// callerCount is how many callers send requests concurrently, each one request at a
-	// time.
-	callerCount = 8
 	// convergenceTimeout bounds each wait for the fleet: to serve after the start, to
 	// accept a configuration, and to finish all jobs at the end.
 	convergenceTimeout = time.Minute
@@ -48,6 +50,10 @@
 	randomDowntime    = 1500 * time.Millisecond
 	commonParts       = 3
 	subjectParts      = 20
+	// targetLimit is the rate that a target states while it has a limit.
+	targetLimit = 4.0
+	// defaultInjectors is the default of Soak.Injectors.
+	defaultInjectors = 2
 )
 
 // Soak is one randomised run. The seed determines the random choices, but not how
@@ -59,10 +65,13 @@
 	Dir      string
 	Seed     uint64
 	Duration time.Duration
-	Clock    clockwork.Clock
-	Logger   log.Interface
+	// Size multiplies the numbers of entries, targets and callers; 0 means 1.
+	Size int
+	// Injectors is how many series of faults are injected at the same time; 0 means 2.
+	Injectors int
+	Clock     clockwork.Clock
+	Logger    log.Interface
 
-	random       *rand.Rand
 	client       *platformtest.Client
 	history      history
 	targetList   platformtest.List
@@ -73,12 +82,17 @@
 	sides        []*process
 	// keys holds the keys of each workspace in the current configuration.
 	keys map[string][]string
+	// configuring serializes changes of the configuration, whose highest version is version.
+	configuring sync.Mutex
+	version     atomic.Uint64
 	// mu guards the fields below.
 	mu sync.Mutex
 	// gracefullyStopping holds the entries that are stopping after SIGTERM.
 	gracefullyStopping map[*process]bool
 	// unready holds the entries that the balancer has taken out of rotation.
-	unready    map[*process]bool
+	unready map[*process]bool
+	// faulted holds the processes that an injector is dealing with.
+	faulted    map[*process]bool
 	faultCount int
 	// disturbances are the times in which processes were stopped, frozen or restarting.
 	disturbances []*disturbance
@@ -100,11 +114,11 @@
 // The error is set if the run could not be completed; violated guarantees are in the
 // report.
 func (s *Soak) Run(ctx context.Context) (*Report, error) {
-	s.random = rand.New(rand.NewPCG(s.Seed, 77))
+	s.Size, s.Injectors = max(s.Size, 1), cmp.Or(s.Injectors, defaultInjectors)
 	s.client = platformtest.NewClient()
 	s.keys = map[string][]string{"one": {"key-one-a", "key-one-b"}, "two": {"key-two-a"}}
 	s.history.revokedKeys = map[string]time.Time{}
-	s.gracefullyStopping, s.unready = map[*process]bool{}, map[*process]bool{}
+	s.gracefullyStopping, s.unready, s.faulted = map[*process]bool{}, map[*process]bool{}, map[*process]bool{}
 	defer s.stopAll()
 	if err := s.startAll(); err != nil {
 		return nil, errors.Trace(err)
@@ -114,7 +128,7 @@
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var tasks conc.WaitGroup
-	for i := range callerCount {
+	for i := range callersPerSize * s.Size {
 		random := rand.New(rand.NewPCG(s.Seed, uint64(100+i)))
 		tasks.Go(func() { s.sendRequests(loadCtx, i, random) })
 	}
@@ -130,6 +144,7 @@
 	}
 	s.awaitRecovery(ctx)
 	s.history.verify(s.targets)
+	s.verifyLimits()
 	crashes, late := s.verifyCrashes()
 	r := s.report()
 	r.Crashes, r.LateCrashingRuns = crashes, late
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -34,10 +34,10 @@
 	for i := range storeCount {
 		s.storeHosts = append(s.storeHosts, l.replica("store", i, l.address(), seedList))
 	}
-	for i := range entryCount {
+	for i := range entriesPerSize * s.Size {
 		s.entries = append(s.entries, l.entry(i, l.address(), seedList))
 	}
-	for i := range targetCount {
+	for i := range targetsPerSize * s.Size {
 		t, err := s.startTarget(i)
 		if err != nil {
 			return errors.Trace(err)
