side: a panic while an item runs fails the attempt

Looked for while tracing what ends one process after the other: an item whose handling panics kept its slot for good, its lease was renewed for ever, and the panic came out when the side stopped; the next side leased the item and went the same way. Cause: conc's WaitGroup keeps a panic until Wait, and nothing recovered before, unlike at entries. Change: the attempt fails as one that may have run, with the stack in the log and Panics counted; the item is returned. Result: TestPanicEndsOnlyItsAttempt panicked before and passes now.

--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -45,7 +46,7 @@
 	w.host.counts.batch.Add(1)
 	startedAt := w.clock.Now()
 	w.logItem(t, "item starts")
-	o, resumeLater := w.attempt(t, p)
+	o, resumeLater := w.attemptSafely(t, p)
 	p.Release()
 	w.logItem(t, w.outcomeText(t, o, resumeLater), log.Fields{"ran": w.clock.Since(startedAt).String(), "verdict": o.Verdict.String(), "cause": o.Message})
 	switch {
@@ -153,6 +154,19 @@
 	w.queued = kept
 }
 
+// attemptSafely is like attempt. A panic fails the attempt, so that one item cannot keep a slot for
+// good or end the process.
+func (w *worker) attemptSafely(t *task, p *gatekeeper.Slot) (o jobs.Outcome, resumeLater bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			w.host.counts.panics.Add(1)
+			w.logItem(t, fmt.Sprintf("panic: %v", v), log.Fields{"stack": string(debug.Stack())})
+			o, resumeLater = jobs.Outcome{Ref: t.grant.Ref, Message: "internal error", Verdict: rhubarbgate.MayHaveRun}, false
+		}
+	}()
+	return w.attempt(t, p)
+}
+
 // attempt runs the item once; resumeLater reports that it was preempted and can be
 // continued.
 func (w *worker) attempt(t *task, p *gatekeeper.Slot) (o jobs.Outcome, resumeLater bool) {
--- a/internal/role/side/worker_test.go
+++ b/internal/role/side/worker_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/platform"
 	"rhubarbgate.example/rhubarbgate/platform/platformtest"
 )
 
@@ -62,3 +66,28 @@
 		})
 	}
 }
+
+// panickingDialect panics when an item is encoded.
+type panickingDialect struct{ platform.Dialect }
+
+func (panickingDialect) TargetHeaders(rhubarbgate.TargetCall) []rhubarbgate.Header { panic("fault") }
+
+// TestPanicEndsOnlyItsAttempt guards against an item that takes a slot of one side after the
+// other for good, and ends each when it stops, because its handling panics.
+func TestPanicEndsOnlyItsAttempt(t *testing.T) {
+	w, task := newBatchOnlyWorker(t, &platformtest.Target{}, clockwork.NewRealClock())
+	w.host.Dialect = panickingDialect{}
+	w.host.keeper = &gatekeeper.Gatekeeper{Clock: w.clock, Gate: &gate.Yielding{Clock: w.clock, Slots: 1}}
+	w.host.keeper.Start()
+	w.host.keeper.ObserveLoad(rhubarbgate.TargetLoad{})
+	w.addTask(task.grant, 1, time.Now().Add(leaseTTL))
+	ctx, stop := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer stop()
+	w.startQueued(ctx)
+	w.waitForTasks()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	qt.Assert(t, w.leased, qt.HasLen, 0)
+	qt.Assert(t, w.host.keeper.Load().Batch, qt.Equals, 0)
+	qt.Assert(t, w.host.counts.panics.Value(), qt.Equals, int64(1))
+}
