discovery: targets that refuse connections cost a request one attempt at most

Cause: a target without requests in flight looks idle, so the choice prefers the dead ones; the ejector needs three failures at each entry for each target, and never ejects more than half. One request's attempts all went to dead targets. Change: a refused connection marks the target as down until it responds. Down targets are left out; every 0.3 s a request may try one, and its further attempts go to targets that are not down. If none is left, down ones are tried as before.

--- a/internal/controller/discovery/ended.go
+++ b/internal/controller/discovery/ended.go
@@ -12,18 +12,38 @@
 )
 
 const (
-	// endedTTL is how long a target that was found to have ended counts as ended. A crash
-	// breaks off all of its responses within milliseconds.
-	endedTTL = 300 * time.Millisecond
+	// downRetryInterval is how long a target whose port refuses connections is left out before
+	// a request tries it again. A crash breaks off all of its responses within milliseconds.
+	downRetryInterval = 300 * time.Millisecond
 	// endedRedialInterval is the time after which a lost opening packet is sent again.
 	endedRedialInterval = 80 * time.Millisecond
 )
 
+// recordRefused records that the target's port refused a connection.
+func (x *Target) recordRefused(now time.Time) { x.refusedAt.Store(&now) }
+
+// recordResponse records that the target responded.
+func (x *Target) recordResponse() {
+	if x.refusedAt.Load() != nil {
+		x.refusedAt.Store(nil)
+	}
+}
+
+// isDown reports whether the target's port has refused connections and the target has not
+// responded since. If so, refused says how long ago the last time was.
+func (x *Target) isDown(now time.Time) (down bool, refused time.Duration) {
+	at := x.refusedAt.Load()
+	if at == nil {
+		return false, 0
+	}
+	return true, now.Sub(*at)
+}
+
 // HasEnded reports whether the process of a target has ended: its port refuses connections. A
 // host that is off or cut off does not reply and counts as not ended. Concurrent calls for a
 // target share one check.
 func (t *Table) HasEnded(ctx context.Context, x *Target) bool {
-	if at := x.endedAt.Load(); at != nil && t.Clock.Since(*at) < endedTTL {
+	if down, refused := x.isDown(t.Clock.Now()); down && refused < downRetryInterval {
 		return true
 	}
 	ended, _, _ := t.checkingEnd.Do(x.name, func() (any, error) {
@@ -34,8 +54,7 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return false, nil
 		}
-		now := t.Clock.Now()
-		x.endedAt.Store(&now)
+		x.recordRefused(t.Clock.Now())
 		return true, nil
 	})
 	return ended == true
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -97,7 +97,8 @@
 
 	inFlight atomic.Int64
 	load     atomic.Pointer[loadReport]
-	endedAt  atomic.Pointer[time.Time] // when HasEnded last found that the target has ended
+	// refusedAt is when the target's port last refused a connection, nil after a response.
+	refusedAt atomic.Pointer[time.Time]
 }
 
 // loadReport is a load that a target reported and when it arrived.
@@ -246,6 +247,8 @@
 		Address: x.Address, Dialer: cmp.Or(t.Dialer, socket.Dialer(dialTimeout)), NonIdempotentMaxIdle: maxIdleNonIdempotent, MaxIdle: maxIdle,
 		Clock: t.Clock, CloseDelimited: true, Opened: t.Opened,
 	}}
+	added.Client.OnRefused = func() { added.recordRefused(t.Clock.Now()) }
+	added.Client.OnResponse = added.recordResponse
 	t.targets[k] = added
 	t.Logger.WithFields(log.Fields{"target": x.ID, "address": x.Address.String(), "service": x.Service, "zone": x.AvailabilityZone}).Info("target listed")
 	return added
@@ -276,18 +279,27 @@
 
 // Candidates returns the targets of a service that may run a request, and for each
 // what the choice between them needs. It leaves out leaving targets, those in tried,
-// and ejected ones unless too many are ejected.
+// and ejected ones unless too many are ejected. Targets that are down are left out as long as
+// there are others, but one attempt of a request may try one of them again after a while.
 func (t *Table) Candidates(service string, idempotent bool, tried []*Target) ([]*Target, []rhubarbgate.Candidate) {
 	t.initialize()
 	now := t.Clock.Now()
-	var list []*Target
+	var list, down []*Target
 	t.mu.RLock()
 	for _, x := range t.targets {
-		if x.Instance.Service == service && !x.isLeaving() && !slices.Contains(tried, x) {
+		if x.Instance.Service != service || x.isLeaving() || slices.Contains(tried, x) {
+			continue
+		}
+		if isDown, refused := x.isDown(now); isDown && (len(tried) > 0 || refused < downRetryInterval) {
+			down = append(down, x)
+		} else {
 			list = append(list, x)
 		}
 	}
 	t.mu.RUnlock()
+	if len(list) == 0 {
+		list = down
+	}
 	slices.SortFunc(list, func(a, b *Target) int { return cmp.Compare(a.name, b.name) })
 	names := make([]string, len(list))
 	for i, x := range list {
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -692,3 +692,61 @@
 		})
 	}
 }
+
+// TestDownTargetsCostNoAttempts guards against refusing requests although targets are up, because
+// all attempts go to targets that are down: without requests in flight those look idle.
+func TestDownTargetsCostNoAttempts(t *testing.T) {
+	tests := []struct {
+		name     string
+		up, down int
+		served   bool
+	}{
+		{"some down", 4, 4, true},
+		{"most down", 1, 11, true},
+		{"all down", 0, 3, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var targets []*platformtest.Target
+			for range test.up + test.down {
+				targets = append(targets, &platformtest.Target{})
+			}
+			e := newEntry(t, targets...)
+			for _, x := range targets[test.up:] {
+				x.Close()
+			}
+			refused := 0
+			for i := range 60 {
+				status, _, err := e.send(context.Background(), "unsafe", fmt.Sprint(i), secret)
+				qt.Assert(t, err, qt.IsNil)
+				if status != http.StatusOK {
+					refused++
+				}
+			}
+			// The first requests find out which targets are down.
+			qt.Assert(t, refused <= 3, qt.Equals, test.served, qt.Commentf("%d of 60 requests refused", refused))
+		})
+	}
+}
+
+// TestDownTargetIsTriedAgain guards against a target that gets no requests after it came back at
+// its address, while the list shows no change.
+func TestDownTargetIsTriedAgain(t *testing.T) {
+	targets := []*platformtest.Target{{}, {}}
+	e := newEntry(t, targets...)
+	a := targets[0].Address()
+	targets[0].Close()
+	for i := range 4 {
+		status, _, err := e.send(context.Background(), "unsafe", fmt.Sprint(i), secret)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, targets[0].Restart(), qt.IsNil)
+	qt.Assert(t, targets[0].Address(), qt.Equals, a)
+	for i := 0; len(targets[0].Runs()) == 0; i++ {
+		qt.Assert(t, i < 500, qt.IsTrue)
+		_, _, err := e.send(context.Background(), "unsafe", fmt.Sprintf("again-%d", i), secret)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -84,6 +84,9 @@
 	CloseDelimited bool
 	// Opened, if set, counts attempts to open a connection.
 	Opened *expvar.Int
+	// OnRefused, if set, is called when the target refuses a connection, OnResponse when it
+	// responds.
+	OnRefused, OnResponse func()
 
 	mu   sync.Mutex
 	idle []*conn
@@ -125,6 +128,9 @@
 		return nil, responseError(ctx, err)
 	}
 	resp.client, resp.stop = c, stop
+	if c.OnResponse != nil {
+		c.OnResponse()
+	}
 	return resp, nil
 }
 
@@ -165,6 +171,9 @@
 	}
 	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
 	if err != nil {
+		if c.OnRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+			c.OnRefused()
+		}
 		return nil, errors.Trace(err)
 	}
 	return newConn(raw), nil
