ingress, side: a response that ends with its connection is not complete if its target ended

Cause: the end of a target closes the connection; between two events, or before the first, that looked like the end of the response. It also counted as an answer to the parts of the prompt, so that those which crash targets were never suspected. Change: at the end of such a response the target is asked for a connection; if it refuses, the response is truncated: resumed, repeated or broken off. A stream without any event is truncated too. Sides treat items alike.

--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"rhubarbgate.example/rhubarbgate"
@@ -319,6 +320,9 @@
 		return a.startStream()
 	}
 	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes && a.endedWithTarget() {
+		err = errEndedWithTarget
+	}
 	if err != nil {
 		a.server.Counts.TruncatedResponses.Add(1)
 		a.finish(true)
@@ -355,6 +359,15 @@
 	}
 }
 
+// errEndedWithTarget reports a response that ended because its target did.
+const errEndedWithTarget = errors.ConstError("the target has ended")
+
+// endedWithTarget reports whether a response that ends with its connection ended because the
+// target's process did, and so may lack its rest.
+func (a *attempt) endedWithTarget() bool {
+	return a.response.Unframed() && a.server.Targets.HasEnded(a.x.Context, a.target)
+}
+
 // recordAnswer records that the target answered the request completely.
 func (a *attempt) recordAnswer() {
 	if a.response.Status == fasthttp.StatusOK {
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -750,3 +750,54 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestUnframedResponses guards against passing on as complete what a target left unfinished, when its
+// responses have neither a length nor chunks and end with their connection.
+func TestUnframedResponses(t *testing.T) {
+	const events = 6
+	crashing := "a:1,crash:1,own:1"
+	tests := []struct {
+		name, route, prompt string
+		fault               platformtest.Fault
+		// complete says whether the caller gets the whole response, runs at how many targets it
+		// was run.
+		complete bool
+		runs     int
+	}{
+		{"stream", "stream", "", platformtest.None, true, 1},
+		{"body", "safe", "", platformtest.None, true, 1},
+		{"ends inside an event", "stream", "", platformtest.CutStream, false, 1},
+		{"ends inside an event, resumed", "resume", "", platformtest.CutStream, true, 2},
+		{"without an event", "stream", "", platformtest.NoEvents, false, 1},
+		{"without an event, repeated", "resume", "", platformtest.NoEvents, true, 2},
+		{"ends with its target after an event", "stream", crashing, platformtest.None, false, 1},
+		{"ends with its target after an event, resumed", "resume", crashing, platformtest.None, true, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			first := &platformtest.Target{Fault: onFirstAttempt(test.fault), CrashPart: "crash", CrashEvents: 2, Downtime: time.Minute}
+			second := &platformtest.Target{}
+			for _, x := range []*platformtest.Target{first, second} {
+				x.Unframed, x.Events, x.Pace, x.PlainPrefixes = true, events, 5*time.Millisecond, []string{"/safe/"}
+			}
+			e := newEntry(t, first, second)
+			e.prompt = test.prompt
+			e.server.Picker = firstPicker{}
+			status, body, err := e.send(context.Background(), test.route, "r", secret)
+			want := streamText("r", events)
+			if test.route == "safe" {
+				want = "answer to r"
+			}
+			qt.Assert(t, err == nil && status == http.StatusOK && body == want, qt.Equals, test.complete, qt.Commentf("%d %q %v", status, body, err))
+			qt.Assert(t, e.runs("r"), qt.HasLen, test.runs)
+			if !test.complete && err == nil {
+				qt.Assert(t, status, qt.Equals, http.StatusBadGateway)
+			}
+		})
+	}
+}
+
+// firstPicker chooses the first candidate.
+type firstPicker struct{}
+
+func (firstPicker) Pick(rhubarbgate.PickRequest, []rhubarbgate.Candidate) int { return 0 }
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -19,6 +19,9 @@
 func (a *attempt) startStream() *rhubarbgate.Error {
 	r := &streamBody{attempt: a, events: events.NewReader(a.response)}
 	first, err := r.events.Next()
+	if err == io.EOF && a.response.Unframed() {
+		err = errNoEvent
+	}
 	if err != nil && err != io.EOF {
 		a.server.Counts.TruncatedResponses.Add(1)
 		a.finish(true)
@@ -32,6 +35,9 @@
 	return nil
 }
 
+// errNoEvent reports a stream that ended with its connection before any event.
+const errNoEvent = errors.ConstError("the stream ended before its first event")
+
 // streamBody is the body of a streamed response to the caller.
 type streamBody struct {
 	*attempt
@@ -64,6 +70,9 @@
 			r.setEvent(e)
 			continue
 		}
+		if err == io.EOF && r.endedWithTarget() {
+			err = errEndedWithTarget
+		}
 		if err == io.EOF {
 			r.recordAnswer()
 			r.finish(false)
@@ -150,6 +159,9 @@
 	}
 	n, err = l.response.Read(b)
 	l.remaining -= n
+	if err == io.EOF && l.endedWithTarget() {
+		err = errEndedWithTarget
+	}
 	switch {
 	case l.remaining < 0:
 		err = errors.Errorf("the response has more than %d bytes", maxResponseBytes)
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -109,6 +109,7 @@
 	body     io.Reader
 	complete bool        // the body was read to its end
 	reusable bool        // the target keeps the connection open
+	unframed bool        // the body ends with its connection
 	stop     func() bool // stops the watch on the request's context
 }
 
@@ -295,7 +296,7 @@
 		if acceptCloseDelimited {
 			resp.body = cn.reader
 		}
-		resp.reusable = false
+		resp.reusable, resp.unframed = false, true
 	default:
 		resp.body = &chunkedReader{r: httputil.NewChunkedReader(cn.reader), trailer: cn.reader}
 	}
@@ -312,6 +313,10 @@
 	return n, err
 }
 
+// Unframed reports whether the body has neither a length nor chunks and ends with its connection,
+// so that its end does not show whether it is complete.
+func (r *Response) Unframed() bool { return r.unframed }
+
 // Close releases the response. Its connection becomes idle if it can be reused. It is
 // closed if the body was not read to its end, which cancels the work at the target.
 func (r *Response) Close() {
--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -46,7 +46,8 @@
 }
 
 // startFleet starts a fleet that runs until the test ends, and returns it once all entries serve.
-func startFleet(t *testing.T) *fleet {
+// change changes each target before it starts.
+func startFleet(t *testing.T, change func(x *platformtest.Target)) *fleet {
 	f := &fleet{t: t, client: platformtest.NewClient()}
 	var list platformtest.List
 	for i := range targetCount {
@@ -54,6 +55,7 @@
 			Instance: fmt.Sprintf("i-%d", i), Service: platformtest.TargetService, Zone: "z", Slots: 8, Events: 12, Pace: 10 * time.Millisecond,
 			CrashPart: crashPart, Downtime: 700 * time.Millisecond,
 		}
+		change(x)
 		qt.Assert(t, x.Start(), qt.IsNil)
 		t.Cleanup(x.Close)
 		f.targets = append(f.targets, x)
@@ -196,7 +198,24 @@
 // TestPromptPartThatCrashesTargets guards against requests with one common part in their prompts
 // ending one target after the other, and against refusing sound requests instead.
 func TestPromptPartThatCrashesTargets(t *testing.T) {
-	f := startFleet(t)
+	tests := []struct {
+		name   string
+		change func(x *platformtest.Target)
+	}{
+		{"before the response", func(*platformtest.Target) {}},
+		{"after an event, without a sign that more is missing", func(x *platformtest.Target) { x.Unframed, x.CrashEvents = true, 1 }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			startFleet(t, test.change).crashTargets()
+		})
+	}
+}
+
+// crashTargets sends sound requests and those that crash targets, and checks what reaches targets.
+func (f *fleet) crashTargets() {
+	t := f.t
 	start := time.Now()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/role/entry/limit_test.go
+++ b/internal/role/entry/limit_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
 )
 
 // limitWindow is the time over which the requests that a limited target gets are counted.
@@ -41,7 +43,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			f := startFleet(t)
+			t.Parallel()
+			f := startFleet(t, func(*platformtest.Target) {})
 			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
 			sound := make(chan []sentRequest, 1)
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -136,7 +136,16 @@
 	if e := w.checkHead(a, i, id); e != nil {
 		return e
 	}
-	return t.output.readEvents(a, onEvent)
+	events, resumed := 0, t.output.LastID != ""
+	e := t.output.readEvents(a, func() {
+		events++
+		onEvent()
+	})
+	// A response that ends with its connection may lack its rest.
+	if x := w.host.Targets.Target(i); e == nil && a.Unframed() && (events == 0 && !resumed || x != nil && w.host.Targets.HasEnded(ctx, x)) {
+		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target's answer ended with the target after %d events", events)
+	}
+	return e
 }
 
 // recordBreak records that the target broke off the response to an item with the error e.
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -190,3 +190,33 @@
 		})
 	}
 }
+
+// TestUnframedItems guards against an item that ends as done with a part of its output, when its
+// target ends while it responds without a length or chunks.
+func TestUnframedItems(t *testing.T) {
+	tests := []struct {
+		name   string
+		target *platformtest.Target
+		prompt string
+		done   bool
+	}{
+		{"complete", &platformtest.Target{}, "", true},
+		{"ends inside an event", &platformtest.Target{Fault: func(string, int) platformtest.Fault { return platformtest.CutStream }}, "", false},
+		{"without an event", &platformtest.Target{Fault: func(string, int) platformtest.Fault { return platformtest.NoEvents }}, "", false},
+		{"ends with its target", &platformtest.Target{CrashPart: "crash", CrashEvents: 2, Pace: 5 * time.Millisecond, Downtime: time.Minute}, "a:1,crash:1,own:1", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.target.Unframed = true
+			w, task := newBatchOnlyWorker(t, test.target, clockwork.NewRealClock())
+			var err error
+			task.grant.Line, err = wire.Marshal(&rhubarbgate.JobItem{ID: "item", Path: "/b/x", Headers: []rhubarbgate.Header{{Name: "X-Prompt-Prefix", Value: test.prompt}}})
+			qt.Assert(t, err, qt.IsNil)
+			failure := w.streamItem(context.Background(), task)
+			qt.Assert(t, failure == nil, qt.Equals, test.done, qt.Commentf("%v", failure))
+			if failure != nil {
+				qt.Assert(t, failure.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
+			}
+		})
+	}
+}
