target limits: shares survive a new leader; no tokens on learning of a limit

Cause 1: when the leader of the fleet group was killed, processes used the limits of the earlier leader only if those had changed within the last 5 s; after that they took the targets for unlimited until the new leader had divided their rates. Cause 2: each process that learned of a limit began with a token, five or more at the same moment. Change: the 5 s count from the first list of the new leader; a limit begins without tokens, and a process that loses its share loses them.

--- a/internal/controller/targetlimits/claim.go
+++ b/internal/controller/targetlimits/claim.go
@@ -75,20 +75,23 @@
 	if !l.Version.NewerThan(k.version) {
 		return
 	}
+	if l.Version.Term > k.version.Term {
+		k.leaderSince = k.Clock.Now()
+	}
 	k.version = l.Version
-	now := k.Clock.Now()
 	listed := map[string]bool{}
 	for _, limit := range l.Limits {
 		listed[limit.Target] = true
 		x := k.targets[limit.Target]
 		if x == nil {
 			x = k.add(limit.Target, "")
-			x.tokens = 0
 		}
 		k.refill(x)
-		x.listed, x.share, x.term, x.listedAt = true, 0, l.Version.Term, now
+		x.listed, x.share, x.term = true, 0, l.Version.Term
 		if i := slices.IndexFunc(limit.Holders, func(h apportion.Holder) bool { return h.Process == k.Process }); i >= 0 {
 			x.share = limit.Holders[i].PerSecond
+		} else {
+			x.tokens = 0
 		}
 	}
 	for name, x := range k.targets {
--- a/internal/controller/targetlimits/keeper.go
+++ b/internal/controller/targetlimits/keeper.go
@@ -23,7 +23,8 @@
 	// observationTTL is how long the newest response of a target counts, while the control hosts
 	// list no limit of it. It covers a report and the next poll several times.
 	observationTTL = 3 * time.Second
-	// earlierLeaderTTL is how long shares of an earlier leader are used.
+	// earlierLeaderTTL is how long shares of the earlier leader are used after another one has
+	// published its first list.
 	earlierLeaderTTL = 5 * time.Second
 	// burstTime is the time for which unused shares accumulate, but up to one request at least.
 	burstTime = time.Second
@@ -53,6 +54,8 @@
 	targets map[string]*limited // by name of the target
 	demand  map[string]*demand  // by service
 	version control.LeaderVersion
+	// leaderSince is when the first list of the current leader came.
+	leaderSince time.Time
 }
 
 // limited is a target with a limit.
@@ -64,8 +67,7 @@
 	// listed says that the control hosts list the limit, and share is this process's part.
 	listed   bool
 	share    float64
-	term     uint64    // of the leader that listed it
-	listedAt time.Time // when the newest list with it came
+	term     uint64 // of the leader that listed it
 
 	tokens  float64
 	tokenAt time.Time
@@ -122,9 +124,10 @@
 	x.statedAt = k.Clock.Now()
 }
 
-// add adds a target whose limit became known. The lock is held.
+// add adds a target whose limit became known. It begins without tokens, as many processes learn of
+// a limit at the same time. The lock is held.
 func (k *Keeper) add(name, service string) *limited {
-	x := &limited{service: service, tokens: 1, tokenAt: k.Clock.Now()}
+	x := &limited{service: service, tokenAt: k.Clock.Now()}
 	k.targets[name] = x
 	return x
 }
@@ -132,7 +135,7 @@
 // isListed reports whether the control hosts list a limit of the target. That of an earlier leader
 // counts for a while. The lock is held.
 func (k *Keeper) isListed(x *limited) bool {
-	return x.listed && (x.term == k.version.Term || k.Clock.Since(x.listedAt) < earlierLeaderTTL)
+	return x.listed && (x.term == k.version.Term || k.Clock.Since(k.leaderSince) < earlierLeaderTTL)
 }
 
 // isLimited reports whether the target has a limit. The lock is held.
--- a/internal/controller/targetlimits/keeper_test.go
+++ b/internal/controller/targetlimits/keeper_test.go
@@ -49,8 +49,13 @@
 		{"no limit", func(*Keeper, *discovery.Target, *clockwork.FakeClock) {}, 400, 400},
 		{"own share", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, 2)) }, 7, 9},
 		{"large share", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, 50)) }, 190, 250},
+		{"share of others after own use", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 2))
+			clock.Advance(time.Minute)
+			k.Update(limits(x, 1, 2, -1))
+		}, 0, 0},
 		{"share of others", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, -1)) }, 0, 0},
-		{"not divided yet", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Observe(x, 8, true) }, 6, 400},
+		{"not divided yet", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Observe(x, 8, true) }, 5, 400},
 		{"ended, as the target says", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) {
 			k.Observe(x, 8, true)
 			k.Observe(x, 0, false)
@@ -67,6 +72,14 @@
 			k.Update(limits(x, 1, 1, 2))
 			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
 		}, 7, 9},
+		{"new leader long after the last change", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 2))
+			clock.Advance(time.Minute)
+			for range 2 {
+				k.Take(x.Name())
+			}
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
+		}, 7, 9},
 		{"new leader that divided the rate", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) {
 			k.Update(limits(x, 1, 1, 2))
 			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
