quarantine: ends and answers count by service

A part that ends the targets of one service would never have been blocked if the route also has a share at another service whose targets answer it (a release beside the old version): each answer there cleared the suspicion. Cause: parts were known by their ID alone. Change: ends and answers carry the service. A block holds at all services, since a route may move to another one with the same engines, but not at those that have answered the part; a request of a split route goes to such a service. An answer after an end also takes the part out of what a process would report to a new leader.

--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -61,26 +61,28 @@
 
 	mu           sync.RWMutex
 	answers      recentAnswers
+	services     []string // whose targets have answered
 	newestAnswer time.Time
 	ends         []*end
 	version      control.LeaderVersion
-	suspects     []string
-	blocks       map[string]block
+	suspects     []quarantine.Part
+	blocks       map[quarantine.Part]block
 }
 
 // end is the end of a target that this process observed.
 type end struct {
 	target string
 	at     time.Time
-	parts  []string
+	parts  []quarantine.Part
 	// reportedTerm is the term of the leader that has it, 0 if none.
 	reportedTerm uint64
 }
 
 // block is a block in force.
 type block struct {
-	with  []string
-	until time.Time
+	with   []quarantine.Part
+	except []string
+	until  time.Time
 	// term is that of the leader that has the block.
 	term uint64
 }
@@ -95,7 +97,7 @@
 	r := &Recorder{
 		Targets: t, Client: c, Clock: clock, Logger: logger,
 		Breaks: counter("ResponsesBroken"), Ended: counter("ResponsesBrokenByEnd"), Dropped: counter("ResponsesBrokenUnchecked"),
-		pending: make(chan Break, maxPendingBreaks), wake: make(chan struct{}, 1), blocks: map[string]block{},
+		pending: make(chan Break, maxPendingBreaks), wake: make(chan struct{}, 1), blocks: map[quarantine.Part]block{},
 	}
 	m.Set("PartsBlocked", expvar.Func(func() any {
 		r.mu.RLock()
@@ -118,30 +120,48 @@
 	}
 }
 
-// RecordAnswer records a complete answer to a prompt with the given parts.
-func (r *Recorder) RecordAnswer(parts []string) {
-	if r == nil || len(parts) == 0 {
+// RecordAnswer records a complete answer of a target of the service to a prompt with the given
+// parts.
+func (r *Recorder) RecordAnswer(service string, ids []string) {
+	if r == nil || len(ids) == 0 {
 		return
 	}
+	parts := quarantine.Parts(service, ids)
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.newestAnswer = now
+	if !slices.Contains(r.services, service) {
+		r.services = append(r.services, service)
+	}
 	wanted := false
 	for _, p := range parts {
 		r.answers.add(p, now)
-		_, blocked := r.blocks[p]
-		wanted = wanted || blocked || slices.Contains(r.suspects, p)
+		wanted = wanted || r.isWatched(p.ID)
+	}
+	// An answer after the end of a target shows that the end was not due to these parts.
+	for _, e := range r.ends {
+		e.parts = slices.DeleteFunc(e.parts, func(p quarantine.Part) bool { return slices.Contains(parts, p) })
 	}
 	if wanted {
 		r.signal()
 	}
 }
 
-// Blocked returns a part for which prompts with the given parts are blocked and how long the
-// block lasts, or false.
-func (r *Recorder) Blocked(parts []string) (part string, left time.Duration, blocked bool) {
-	if r == nil || len(parts) == 0 {
+// isWatched reports whether a part with this ID is suspected or blocked. The lock is held.
+func (r *Recorder) isWatched(id string) bool {
+	for p := range r.blocks {
+		if p.ID == id {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.suspects, func(p quarantine.Part) bool { return p.ID == id })
+}
+
+// Blocked returns a part for which prompts with the given parts are kept from the targets of the
+// service, and how long that lasts, or false.
+func (r *Recorder) Blocked(service string, ids []string) (id string, left time.Duration, blocked bool) {
+	if r == nil || len(ids) == 0 {
 		return "", 0, false
 	}
 	r.mu.RLock()
@@ -149,13 +169,12 @@
 	if len(r.blocks) == 0 {
 		return "", 0, false
 	}
-	for _, p := range parts {
-		b, ok := r.blocks[p]
-		if !ok || slices.ContainsFunc(b.with, func(w string) bool { return !slices.Contains(parts, w) }) {
-			continue
-		}
-		if left := b.until.Sub(r.Clock.Now()); left > 0 {
-			return p, left, true
+	now := r.Clock.Now()
+	for p, b := range r.blocks {
+		left := b.until.Sub(now)
+		if left > 0 && slices.Contains(ids, p.ID) && !slices.Contains(b.except, service) &&
+			!slices.ContainsFunc(b.with, func(w quarantine.Part) bool { return !slices.Contains(ids, w.ID) }) {
+			return p.ID, left, true
 		}
 	}
 	return "", 0, false
@@ -204,7 +223,7 @@
 		return
 	}
 	if b.Answering >= soundAfter {
-		r.RecordAnswer(b.Parts)
+		r.RecordAnswer(b.Target.Instance.Service, b.Parts)
 		return
 	}
 	r.mu.Lock()
@@ -216,7 +235,7 @@
 		r.ends = append(r.ends, &end{target: name, at: b.At})
 	}
 	e := r.ends[i]
-	for _, p := range b.Parts {
+	for _, p := range quarantine.Parts(b.Target.Instance.Service, b.Parts) {
 		if !slices.Contains(e.parts, p) {
 			e.parts = append(e.parts, p)
 			e.reportedTerm = 0
--- a/internal/controller/crashes/report.go
+++ b/internal/controller/crashes/report.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
@@ -27,20 +29,20 @@
 
 // recentAnswers holds when parts of prompts were last answered. It forgets old ones.
 type recentAnswers struct {
-	recent, older map[string]time.Time
+	recent, older map[quarantine.Part]time.Time
 	since         time.Time // when recent began
 }
 
 // add records an answer.
-func (a *recentAnswers) add(part string, now time.Time) {
+func (a *recentAnswers) add(part quarantine.Part, now time.Time) {
 	if a.recent == nil || len(a.recent) >= answersGenerationSize || now.Sub(a.since) >= answersGenerationTime {
-		a.recent, a.older, a.since = map[string]time.Time{}, a.recent, now
+		a.recent, a.older, a.since = map[quarantine.Part]time.Time{}, a.recent, now
 	}
 	a.recent[part] = now
 }
 
 // newest returns when a part was last answered.
-func (a *recentAnswers) newest(part string) (time.Time, bool) {
+func (a *recentAnswers) newest(part quarantine.Part) (time.Time, bool) {
 	if at, ok := a.recent[part]; ok {
 		return at, true
 	}
@@ -59,23 +61,28 @@
 	now := r.Clock.Now()
 	r.version, r.suspects = q.Version, q.Suspects
 	before := maps.Clone(r.blocks)
-	maps.DeleteFunc(r.blocks, func(_ string, b block) bool { return b.term >= q.Version.Term || !now.Before(b.until) })
+	maps.DeleteFunc(r.blocks, func(_ quarantine.Part, b block) bool { return b.term >= q.Version.Term || !now.Before(b.until) })
 	for _, b := range q.Blocks {
-		r.blocks[b.Part] = block{with: b.With, until: at.Add(b.Left), term: q.Version.Term}
+		r.blocks[b.Part] = block{with: b.With, except: b.Except, until: at.Add(b.Left), term: q.Version.Term}
 	}
 	for p := range r.blocks {
 		if _, ok := before[p]; !ok {
-			r.Logger.WithField("part", p).WithField("with", r.blocks[p].with).Info("part of prompts blocked")
+			r.logPart(p, "part of prompts blocked")
 		}
 	}
 	for p := range before {
 		if _, ok := r.blocks[p]; !ok {
-			r.Logger.WithField("part", p).Info("part of prompts no longer blocked")
+			r.logPart(p, "part of prompts no longer blocked")
 		}
 	}
 	r.signal()
 }
 
+// logPart logs a change of a block.
+func (r *Recorder) logPart(p quarantine.Part, text string) {
+	r.Logger.WithFields(log.Fields{"service": p.Service, "part": p.ID}).Info(text)
+}
+
 // report reports observations to the leader of the fleet group when there are new ones.
 func (r *Recorder) report(ctx context.Context) {
 	for {
@@ -119,7 +126,7 @@
 	for _, p := range reply.Released {
 		if b, ok := r.blocks[p]; ok && b.term < reply.Term {
 			delete(r.blocks, p)
-			r.Logger.WithField("part", p).Info("part of prompts no longer blocked")
+			r.logPart(p, "part of prompts no longer blocked")
 		}
 	}
 	return true
@@ -131,7 +138,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	r.ends = slices.DeleteFunc(r.ends, func(e *end) bool { return now.Sub(e.at) >= quarantine.CrashTTL })
+	r.ends = slices.DeleteFunc(r.ends, func(e *end) bool { return now.Sub(e.at) >= quarantine.CrashTTL || len(e.parts) == 0 })
 	r.ends = slices.Delete(r.ends, 0, max(0, len(r.ends)-maxEnds))
 	in := &control.Crashes{}
 	var ends []*end
@@ -147,13 +154,20 @@
 	for p, b := range r.blocks {
 		wanted = append(wanted, p)
 		if left := b.until.Sub(now); b.term < r.version.Term && left > 0 {
-			in.Report.Blocks = append(in.Report.Blocks, quarantine.Block{Part: p, With: b.with, Left: left})
+			in.Report.Blocks = append(in.Report.Blocks, quarantine.Block{Part: p, With: b.with, Except: b.except, Left: left})
 		}
 	}
-	slices.Sort(wanted)
-	for _, p := range slices.Compact(wanted) {
-		if at, ok := r.answers.newest(p); ok {
-			in.Report.Answers = append(in.Report.Answers, quarantine.Answer{Part: p, Age: now.Sub(at)})
+	seen := map[string]bool{}
+	for _, p := range wanted {
+		if seen[p.ID] {
+			continue
+		}
+		seen[p.ID] = true
+		for _, service := range r.services {
+			answered := quarantine.Part{Service: service, ID: p.ID}
+			if at, ok := r.answers.newest(answered); ok {
+				in.Report.Answers = append(in.Report.Answers, quarantine.Answer{Part: answered, Age: now.Sub(at)})
+			}
 		}
 	}
 	if len(wanted) == 0 {
--- a/internal/controller/crashes/report_test.go
+++ b/internal/controller/crashes/report_test.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -31,7 +32,7 @@
 	mux := wire.NewMux()
 	wire.Unary(mux, control.MethodCrashes, wire.Daemons, func(_ context.Context, in *control.Crashes) (*control.CrashesReply, error) {
 		received <- in.Report
-		return &control.CrashesReply{Term: term.Load(), Released: released}, nil
+		return &control.CrashesReply{Term: term.Load(), Released: quarantine.Parts("lm", released)}, nil
 	})
 	go func() { _ = mux.Serve(ctx, l) }()
 	clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.New()}
@@ -58,56 +59,60 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go r.Run(ctx)
-	r.RecordAnswer([]string{"common"})
+	r.RecordAnswer("lm", []string{"common"})
 	r.RecordBreak(Break{Target: endedTarget(t, r), Parts: []string{"common", "bad"}, At: r.Clock.Now()})
 	first := <-received
 	qt.Assert(t, first.Crashes, qt.HasLen, 1)
-	qt.Assert(t, first.Crashes[0].Parts, qt.DeepEquals, []string{"common", "bad"})
+	qt.Assert(t, first.Crashes[0].Parts, qt.DeepEquals, quarantine.Parts("lm", []string{"common", "bad"}))
 	qt.Assert(t, first.Answers, qt.HasLen, 1)
-	qt.Assert(t, first.Answers[0].Part, qt.Equals, "common")
+	qt.Assert(t, first.Answers[0].Part.ID, qt.Equals, "common")
 	qt.Assert(t, first.Answered, qt.IsTrue)
 
 	now := r.Clock.Now()
-	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, now)
+	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: quarantine.Part{Service: "lm", ID: "bad"}, Left: time.Minute}}}, now)
 	second := <-received
 	qt.Assert(t, second.Crashes, qt.HasLen, 0, qt.Commentf("the leader has them"))
 	qt.Assert(t, second.Blocks, qt.HasLen, 0)
 
 	term.Store(2)
 	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 2}}, now)
-	_, _, blocked := r.Blocked([]string{"bad"})
+	_, _, blocked := r.Blocked("lm", []string{"bad"})
 	qt.Assert(t, blocked, qt.IsTrue)
 	third := <-received
 	qt.Assert(t, third.Crashes, qt.HasLen, 1)
 	qt.Assert(t, third.Blocks, qt.HasLen, 1)
-	qt.Assert(t, third.Blocks[0].Part, qt.Equals, "bad")
+	qt.Assert(t, third.Blocks[0].Part.ID, qt.Equals, "bad")
 }
 
 // TestBlockedPrompts guards against blocking prompts for good, or those that lack a part without
 // which no target ended.
 func TestBlockedPrompts(t *testing.T) {
-	bad := quarantine.Block{Part: "bad", Left: time.Minute}
-	badWithRare := quarantine.Block{Part: "bad", With: []string{"rare"}, Left: time.Minute}
+	bad := quarantine.Block{Part: quarantine.Part{Service: "lm", ID: "bad"}, Left: time.Minute}
+	badWithRare := quarantine.Block{Part: quarantine.Part{Service: "lm", ID: "bad"}, With: quarantine.Parts("lm", []string{"rare"}), Left: time.Minute}
+	badExcept := quarantine.Block{Part: bad.Part, Except: []string{"other"}, Left: time.Minute}
 	version := func(term, number uint64) control.LeaderVersion {
 		return control.LeaderVersion{Term: term, Number: number}
 	}
 	tests := []struct {
 		name    string
+		service string // "lm" if empty
 		updates []control.Quarantine
 		parts   []string
 		later   time.Duration
 		want    bool
 	}{
-		{"none", nil, []string{"bad"}, 0, false},
-		{"blocked", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"a", "bad"}, 0, true},
-		{"other prompt", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"a"}, 0, false},
-		{"without the part that came with it", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{badWithRare}}}, []string{"a", "bad"}, 0, false},
-		{"with the part that came with it", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{badWithRare}}}, []string{"rare", "bad"}, 0, true},
-		{"over", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"bad"}, time.Minute, false},
-		{"released", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(1, 2)}}, []string{"bad"}, 0, false},
-		{"older quarantine", []control.Quarantine{{Version: version(1, 2), Blocks: []quarantine.Block{bad}}, {Version: version(1, 1)}}, []string{"bad"}, 0, true},
-		{"new leader without it", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(2, 0)}}, []string{"bad"}, 0, true},
-		{"new leader took it over and released it", []control.Quarantine{
+		{"none", "", nil, []string{"bad"}, 0, false},
+		{"blocked", "", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"a", "bad"}, 0, true},
+		{"other service", "other", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"a", "bad"}, 0, true},
+		{"service that answered it", "other", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{badExcept}}}, []string{"a", "bad"}, 0, false},
+		{"other prompt", "", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"a"}, 0, false},
+		{"without the part that came with it", "", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{badWithRare}}}, []string{"a", "bad"}, 0, false},
+		{"with the part that came with it", "", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{badWithRare}}}, []string{"rare", "bad"}, 0, true},
+		{"over", "", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}}, []string{"bad"}, time.Minute, false},
+		{"released", "", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(1, 2)}}, []string{"bad"}, 0, false},
+		{"older quarantine", "", []control.Quarantine{{Version: version(1, 2), Blocks: []quarantine.Block{bad}}, {Version: version(1, 1)}}, []string{"bad"}, 0, true},
+		{"new leader without it", "", []control.Quarantine{{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(2, 0)}}, []string{"bad"}, 0, true},
+		{"new leader took it over and released it", "", []control.Quarantine{
 			{Version: version(1, 1), Blocks: []quarantine.Block{bad}}, {Version: version(2, 1), Blocks: []quarantine.Block{bad}}, {Version: version(2, 2)},
 		}, []string{"bad"}, 0, false},
 	}
@@ -119,7 +124,7 @@
 				r.Update(q, clock.Now())
 			}
 			clock.Advance(test.later)
-			_, left, blocked := r.Blocked(test.parts)
+			_, left, blocked := r.Blocked(cmp.Or(test.service, "lm"), test.parts)
 			qt.Assert(t, blocked, qt.Equals, test.want)
 			qt.Assert(t, left > 0, qt.Equals, test.want)
 		})
@@ -132,16 +137,16 @@
 	var term atomic.Uint64
 	term.Store(2)
 	r, received := newTestRecorder(t, &term, []string{"bad"})
-	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}}}, r.Clock.Now())
+	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: quarantine.Part{Service: "lm", ID: "bad"}, Left: time.Minute}}}, r.Clock.Now())
 	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 2}}, r.Clock.Now())
-	_, _, blocked := r.Blocked([]string{"bad"})
+	_, _, blocked := r.Blocked("lm", []string{"bad"})
 	qt.Assert(t, blocked, qt.IsTrue)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go r.Run(ctx)
 	qt.Assert(t, (<-received).Blocks, qt.HasLen, 1)
 	for {
-		if _, _, blocked := r.Blocked([]string{"bad"}); !blocked {
+		if _, _, blocked := r.Blocked("lm", []string{"bad"}); !blocked {
 			return
 		}
 		time.Sleep(time.Millisecond)
@@ -153,14 +158,14 @@
 	var a recentAnswers
 	now := time.Now()
 	for i := range 5 * answersGenerationSize {
-		a.add(string(rune(i)), now)
+		a.add(quarantine.Part{ID: string(rune(i))}, now)
 	}
 	qt.Assert(t, len(a.recent)+len(a.older) <= 2*answersGenerationSize, qt.IsTrue)
-	a.add("x", now)
-	_, ok := a.newest("x")
+	a.add(quarantine.Part{ID: "x"}, now)
+	_, ok := a.newest(quarantine.Part{ID: "x"})
 	qt.Assert(t, ok, qt.IsTrue)
-	a.add("y", now.Add(answersGenerationTime))
-	a.add("z", now.Add(2*answersGenerationTime))
-	_, ok = a.newest("x")
+	a.add(quarantine.Part{ID: "y"}, now.Add(answersGenerationTime))
+	a.add(quarantine.Part{ID: "z"}, now.Add(2*answersGenerationTime))
+	_, ok = a.newest(quarantine.Part{ID: "x"})
 	qt.Assert(t, ok, qt.IsFalse)
 }
--- a/internal/controller/targetlimits/keeper.go
+++ b/internal/controller/targetlimits/keeper.go
@@ -65,9 +65,9 @@
 	stated   apportion.Statement
 	statedAt time.Time
 	// listed says that the control hosts list the limit, and share is this process's part.
-	listed   bool
-	share    float64
-	term     uint64 // of the leader that listed it
+	listed bool
+	share  float64
+	term   uint64 // of the leader that listed it
 
 	tokens  float64
 	tokenAt time.Time
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -180,21 +180,30 @@
 
 // Handle implements Filter.
 func (f *quarantineFilter) Handle(x *Exchange, next Handler) error {
-	if err := f.server.checkBlocked(x); err != nil {
+	var blocked *rhubarbgate.Error
+	for _, share := range x.Route.Split {
+		if share.Weight <= 0 {
+			continue
+		}
+		if blocked = f.server.checkBlocked(x, share.Service); blocked == nil {
+			return next(x)
+		}
+	}
+	if blocked != nil {
 		f.server.Counts.Quarantined.Add(1)
-		return err
+		return blocked
 	}
 	return next(x)
 }
 
-// checkBlocked returns an error if no target may get the request, because targets ended with a
-// part of its prompt.
-func (s *Server) checkBlocked(x *Exchange) *rhubarbgate.Error {
-	part, left, blocked := s.Crashes.Blocked(x.Call.SharedParts())
+// checkBlocked returns an error if no target of the service may get the request, because targets
+// ended with a part of its prompt.
+func (s *Server) checkBlocked(x *Exchange, service string) *rhubarbgate.Error {
+	part, left, blocked := s.Crashes.Blocked(service, x.Call.SharedParts())
 	if !blocked {
 		return nil
 	}
-	return notRun(rhubarbgate.CodeUnavailable, "targets end when they answer prompts with the part %s", part).WithRetryAfter(left)
+	return notRun(rhubarbgate.CodeUnavailable, "targets of service %q end when they answer prompts with the part %s", service, part).WithRetryAfter(left)
 }
 
 // rateFilter takes a token of the workspace's rate limit, and waits for it briefly. A
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -80,7 +80,7 @@
 // forward sends the request to a target. After a failure it sends it to another target,
 // if the request did not run or is repeatable.
 func (s *Server) forward(x *Exchange) error {
-	q := &forwardedRequest{server: s, x: x, service: s.chooseService(x.Route.Split)}
+	q := &forwardedRequest{server: s, x: x, service: s.chooseService(s.unblockedSplit(x))}
 	q.request = s.targetRequest(x)
 	s.Limits.CountDemand(q.service)
 	var last *rhubarbgate.Error
@@ -111,7 +111,7 @@
 // from the retry budget unless the request did not run.
 func (s *Server) shouldRetry(q *forwardedRequest, last *rhubarbgate.Error) bool {
 	x := q.x
-	if !s.Clock.Now().Before(x.Deadline) || x.Context.Err() != nil || last.Code == rhubarbgate.CodeOverloaded || s.checkBlocked(x) != nil {
+	if !s.Clock.Now().Before(x.Deadline) || x.Context.Err() != nil || last.Code == rhubarbgate.CodeOverloaded || s.checkBlocked(x, q.service) != nil {
 		return false
 	}
 	switch {
@@ -128,6 +128,21 @@
 	return true
 }
 
+// unblockedSplit returns the services of the request's route without those whose targets end with
+// its prompt, unless that leaves none.
+func (s *Server) unblockedSplit(x *Exchange) []rhubarbgate.Share {
+	var split []rhubarbgate.Share
+	for _, share := range x.Route.Split {
+		if share.Weight > 0 && s.checkBlocked(x, share.Service) == nil {
+			split = append(split, share)
+		}
+	}
+	if len(split) == 0 {
+		return x.Route.Split
+	}
+	return split
+}
+
 // chooseService returns a random service, in proportion to the weights.
 func (s *Server) chooseService(split []rhubarbgate.Share) string {
 	total := 0.0
@@ -168,7 +183,7 @@
 	if err := s.confirmKey(x); n > 1 && err != nil {
 		return nil, err
 	}
-	if err := s.checkBlocked(x); err != nil {
+	if err := s.checkBlocked(x, q.service); err != nil {
 		return nil, err
 	}
 	now := s.Clock.Now()
@@ -371,7 +386,7 @@
 // recordAnswer records that the target answered the request completely.
 func (a *attempt) recordAnswer() {
 	if a.response.Status == fasthttp.StatusOK {
-		a.server.Crashes.RecordAnswer(a.x.Call.SharedParts())
+		a.server.Crashes.RecordAnswer(a.target.Instance.Service, a.x.Call.SharedParts())
 	}
 }
 
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -618,7 +618,7 @@
 	e := newEntry(t, &platformtest.Target{})
 	e.server.Crashes = crashes.NewRecorder(e.server.Targets, nil, e.server.Clock, e.server.Logger, new(expvar.Map).Init())
 	e.server.Crashes.Update(control.Quarantine{
-		Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}},
+		Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: quarantine.Part{Service: "lm", ID: "bad"}, Left: time.Minute}},
 	}, e.server.Clock.Now())
 	tests := []struct {
 		name, prompt string
@@ -638,7 +638,7 @@
 		})
 	}
 	qt.Assert(t, e.server.Counts.Quarantined.Value(), qt.Equals, int64(1))
-	refusal := e.server.checkBlocked(&Exchange{Call: rhubarbgate.Call{PromptParts: []string{"bad", "own"}}})
+	refusal := e.server.checkBlocked(&Exchange{Call: rhubarbgate.Call{PromptParts: []string{"bad", "own"}}}, "lm")
 	qt.Assert(t, refusal.Verdict, qt.Equals, rhubarbgate.NotRun)
 	qt.Assert(t, refusal.RetryAfter > 50*time.Second, qt.IsTrue)
 }
@@ -801,3 +801,31 @@
 type firstPicker struct{}
 
 func (firstPicker) Pick(rhubarbgate.PickRequest, []rhubarbgate.Candidate) int { return 0 }
+
+// TestPromptBlockedAtOneService guards against refusing a request, or sending it where it ends
+// targets, while its route has another service whose targets answer its prompt.
+func TestPromptBlockedAtOneService(t *testing.T) {
+	s := &Server{Random: rand.New(rand.NewPCG(1, 1))}
+	clock := clockwork.NewFakeClock()
+	s.Crashes = crashes.NewRecorder(nil, nil, clock, &log.Logger{Handler: discard.New()}, new(expvar.Map).Init())
+	s.Counts = NewCounters(new(expvar.Map).Init())
+	block := func(number uint64, except ...string) {
+		q := control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: number}}
+		q.Blocks = []quarantine.Block{{Part: quarantine.Part{Service: "v1", ID: "bad"}, Except: except, Left: time.Minute}}
+		s.Crashes.Update(q, clock.Now())
+	}
+	x := &Exchange{
+		Call:  rhubarbgate.Call{PromptParts: []string{"bad", "own"}},
+		Route: rhubarbgate.Route{Split: []rhubarbgate.Share{{Service: "v1", Weight: 9}, {Service: "v2", Weight: 1}, {Service: "v3"}}},
+	}
+	admitted := func() bool {
+		return (&quarantineFilter{server: s}).Handle(x, func(*Exchange) error { return nil }) == nil
+	}
+	block(1, "v2")
+	qt.Assert(t, admitted(), qt.IsTrue)
+	for range 100 {
+		qt.Assert(t, s.chooseService(s.unblockedSplit(x)), qt.Equals, "v2")
+	}
+	block(2)
+	qt.Assert(t, admitted(), qt.IsFalse)
+}
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -35,6 +35,24 @@
 	maxCrashParts = 64
 )
 
+// Part is a part of prompts at the targets of one service. Another service may run other engines,
+// which the same part does not end, so what is known of one service does not clear the part at another.
+type Part struct{ Service, ID string }
+
+// Parts returns the parts with the given IDs.
+func Parts(service string, ids []string) []Part {
+	r := make([]Part, len(ids))
+	for i, id := range ids {
+		r[i] = Part{service, id}
+	}
+	return r
+}
+
+// compareParts orders parts.
+func compareParts(a, b Part) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+}
+
 // Crash is the end of a target while it had requests.
 type Crash struct {
 	Target string
@@ -42,21 +60,24 @@
 	Age time.Duration
 	// Parts are the parts of the prompts that the target had not answered yet, or had just
 	// begun to answer.
-	Parts []string
+	Parts []Part
 }
 
 // Answer says how long ago a target last answered a prompt with a part.
 type Answer struct {
-	Part string
+	Part Part
 	Age  time.Duration
 }
 
-// Block keeps requests from the targets whose prompts have the part and all the parts in With.
+// Block keeps requests from all targets whose prompts have the part and all the parts in With. A
+// route may move to another service, whose targets mostly end too.
 type Block struct {
-	Part string
+	Part Part
 	// With are the parts that were present at each end of a target that counts against Part.
 	// Any of them may be the cause, so a prompt without one of them is still sent.
-	With []string `msgpack:",omitempty"`
+	With []Part `msgpack:",omitempty"`
+	// Except are the other services whose targets have answered the part.
+	Except []string `msgpack:",omitempty"`
 	// Left is how long the block lasts.
 	Left time.Duration
 }
@@ -77,12 +98,13 @@
 type crash struct {
 	target string
 	at     time.Time
-	parts  map[string]bool
+	parts  map[Part]bool
 }
 
 // adoptedBlock is a block of an earlier Table.
 type adoptedBlock struct {
-	with         []string
+	with         []Part
+	except       []string
 	since, until time.Time
 }
 
@@ -93,19 +115,19 @@
 	mu      sync.Mutex
 	crashes []*crash // by the time of their report
 	// answers holds the time of the newest answer to each part at a crash.
-	answers      map[string]time.Time
+	answers      map[Part]time.Time
 	newestAnswer time.Time
-	suspected    map[string]time.Time // since when
-	adopted      map[string]adoptedBlock
+	suspected    map[Part]time.Time // since when
+	adopted      map[Part]adoptedBlock
 }
 
 // Add merges a report, and returns the parts of its Blocks that are not blocked any more because
 // they were answered.
-func (t *Table) Add(r *Report) (released []string) {
+func (t *Table) Add(r *Report) (released []Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.answers == nil {
-		t.answers, t.suspected, t.adopted = map[string]time.Time{}, map[string]time.Time{}, map[string]adoptedBlock{}
+		t.answers, t.suspected, t.adopted = map[Part]time.Time{}, map[Part]time.Time{}, map[Part]adoptedBlock{}
 	}
 	now := t.Clock.Now()
 	for _, c := range r.Crashes {
@@ -121,7 +143,7 @@
 	}
 	for _, b := range r.Blocks {
 		if _, ok := t.adopted[b.Part]; !ok {
-			t.adopted[b.Part] = adoptedBlock{with: b.With, since: now, until: now.Add(b.Left)}
+			t.adopted[b.Part] = adoptedBlock{with: b.With, except: b.Except, since: now, until: now.Add(b.Left)}
 		}
 	}
 	t.update(now)
@@ -140,7 +162,7 @@
 	})
 	if i < 0 {
 		i = len(t.crashes)
-		t.crashes = append(t.crashes, &crash{target: c.Target, at: at, parts: map[string]bool{}})
+		t.crashes = append(t.crashes, &crash{target: c.Target, at: at, parts: map[Part]bool{}})
 	}
 	for _, p := range c.Parts {
 		if len(t.crashes[i].parts) < maxCrashParts {
@@ -153,18 +175,19 @@
 func (t *Table) update(now time.Time) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) >= CrashTTL })
 	t.crashes = slices.Delete(t.crashes, 0, max(0, len(t.crashes)-maxCrashes))
-	maps.DeleteFunc(t.adopted, func(p string, b adoptedBlock) bool { return !now.Before(b.until) || t.answers[p].After(b.since) })
-	crashes := map[string]int{} // by part
+	maps.DeleteFunc(t.adopted, func(p Part, b adoptedBlock) bool { return !now.Before(b.until) || t.answers[p].After(b.since) })
+	crashes, ids := map[Part]int{}, map[string]bool{}
 	for _, c := range t.crashes {
 		for p := range c.parts {
 			crashes[p]++
+			ids[p.ID] = true
 		}
 	}
-	maps.DeleteFunc(t.answers, func(p string, _ time.Time) bool {
-		_, adopted := t.adopted[p]
-		return crashes[p] == 0 && !adopted
-	})
-	maps.DeleteFunc(t.suspected, func(p string, _ time.Time) bool { return crashes[p] < minCrashes || !t.isSuspect(p) })
+	for p := range t.adopted {
+		ids[p.ID] = true
+	}
+	maps.DeleteFunc(t.answers, func(p Part, _ time.Time) bool { return !ids[p.ID] })
+	maps.DeleteFunc(t.suspected, func(p Part, _ time.Time) bool { return crashes[p] < minCrashes || !t.isSuspect(p) })
 	for p, n := range crashes {
 		if n >= minCrashes && t.suspected[p].IsZero() && t.isSuspect(p) {
 			t.suspected[p] = now
@@ -174,7 +197,7 @@
 
 // counted returns the ends of targets that count against a part: it was present, and was not
 // answered since shortly before. The lock is held.
-func (t *Table) counted(part string) []*crash {
+func (t *Table) counted(part Part) []*crash {
 	var r []*crash
 	answered := t.answers[part]
 	for _, c := range t.crashes {
@@ -187,17 +210,17 @@
 
 // isSuspect reports whether targets that had the part ended one after the other while others
 // answered. If none answers anything, the cause is not in the prompts. The lock is held.
-func (t *Table) isSuspect(part string) bool {
+func (t *Table) isSuspect(part Part) bool {
 	c := t.counted(part)
 	return len(c) >= minCrashes && slices.ContainsFunc(c, func(x *crash) bool { return t.newestAnswer.After(x.at) })
 }
 
 // Suspects returns the parts that are suspected, in order.
-func (t *Table) Suspects() []string {
+func (t *Table) Suspects() []Part {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.update(t.Clock.Now())
-	return slices.Sorted(maps.Keys(t.suspected))
+	return slices.SortedFunc(maps.Keys(t.suspected), compareParts)
 }
 
 // Blocks returns the blocks in force, ordered by part.
@@ -210,28 +233,41 @@
 	for p, since := range t.suspected {
 		c := t.counted(p)
 		if until := newest(c).Add(blockTime); now.Sub(since) >= objectionPeriod && now.Before(until) {
-			r = append(r, Block{Part: p, With: t.presentAtAll(c, p), Left: until.Sub(now)})
+			r = append(r, Block{Part: p, With: t.presentAtAll(c, p), Except: t.answeredElsewhere(p), Left: until.Sub(now)})
 		}
 	}
 	for p, b := range t.adopted {
 		if !slices.ContainsFunc(r, func(x Block) bool { return x.Part == p }) {
-			r = append(r, Block{Part: p, With: b.with, Left: b.until.Sub(now)})
+			r = append(r, Block{Part: p, With: b.with, Except: b.except, Left: b.until.Sub(now)})
 		}
 	}
-	slices.SortFunc(r, func(a, b Block) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(r, func(a, b Block) int { return compareParts(a.Part, b.Part) })
+	return r
+}
+
+// answeredElsewhere returns the other services whose targets have answered the part, in order. The
+// lock is held.
+func (t *Table) answeredElsewhere(part Part) []string {
+	var r []string
+	for p := range t.answers {
+		if p.ID == part.ID && p.Service != part.Service {
+			r = append(r, p.Service)
+		}
+	}
+	slices.Sort(r)
 	return r
 }
 
 // presentAtAll returns the suspected parts other than part that were present at all the ends c
 // of targets, in order. The lock is held.
-func (t *Table) presentAtAll(c []*crash, part string) []string {
-	var r []string
+func (t *Table) presentAtAll(c []*crash, part Part) []Part {
+	var r []Part
 	for p := range t.suspected {
 		if p != part && !slices.ContainsFunc(c, func(x *crash) bool { return !x.parts[p] || !x.at.After(t.answers[p].Add(answerMargin)) }) {
 			r = append(r, p)
 		}
 	}
-	slices.Sort(r)
+	slices.SortFunc(r, compareParts)
 	return r
 }
 
--- a/internal/policy/quarantine/table_test.go
+++ b/internal/policy/quarantine/table_test.go
@@ -17,13 +17,16 @@
 
 // ended returns a report of the end of a target with requests that have these parts.
 func ended(target string, parts ...string) Report {
-	return Report{Crashes: []Crash{{Target: target, Parts: parts}}}
+	return Report{Crashes: []Crash{{Target: target, Parts: Parts("lm", parts)}}}
 }
 
 // answered returns a report of answers to prompts that have these parts.
-func answered(parts ...string) Report {
+func answered(parts ...string) Report { return answeredBy("lm", parts...) }
+
+// answeredBy is like answered, for answers of targets of another service.
+func answeredBy(service string, parts ...string) Report {
 	r := Report{Answered: true}
-	for _, p := range parts {
+	for _, p := range Parts(service, parts) {
 		r.Answers = append(r.Answers, Answer{Part: p})
 	}
 	return r
@@ -32,7 +35,7 @@
 // endedAfter is like ended, with an answer to each of the parts some time before.
 func endedAfter(answer time.Duration, target string, parts ...string) Report {
 	r := ended(target, parts...)
-	for _, p := range parts {
+	for _, p := range Parts("lm", parts) {
 		r.Answers = append(r.Answers, Answer{Part: p, Age: answer})
 	}
 	return r
@@ -49,31 +52,33 @@
 		events []event
 		at     time.Duration
 		want   map[string][]string // With by Part
+		except []string
 	}{
-		{"three targets, others answer", append(threeEnds, others), 1200 * ms, map[string][]string{"bad": nil}},
-		{"before the objection period ends", append(threeEnds, others), 900 * ms, nil},
-		{"two targets", append(threeEnds[:2:2], others), 3 * second, nil},
-		{"answered meanwhile", append(threeEnds, event{400 * ms, answered("bad")}), 3 * second, nil},
-		{"answered after the block", append(threeEnds, others, event{2 * second, answered("bad")}), 3 * second, nil},
-		{"answered shortly before the first end", []event{{0, endedAfter(second, "t1", "bad")}, {100 * ms, ended("t2", "bad")}, {200 * ms, ended("t3", "bad")}, others}, 3 * second, nil},
-		{"answered long before", []event{{0, endedAfter(5*second, "t1", "bad")}, {100 * ms, ended("t2", "bad")}, {200 * ms, ended("t3", "bad")}, others}, 3 * second, map[string][]string{"bad": nil}},
-		{"no target answers anything", threeEnds, 3 * second, nil},
+		{"three targets, others answer", append(threeEnds, others), 1200 * ms, map[string][]string{"bad": nil}, nil},
+		{"before the objection period ends", append(threeEnds, others), 900 * ms, nil, nil},
+		{"two targets", append(threeEnds[:2:2], others), 3 * second, nil, nil},
+		{"answered meanwhile", append(threeEnds, event{400 * ms, answered("bad")}), 3 * second, nil, nil},
+		{"answered by targets of another service", append(threeEnds, event{400 * ms, answeredBy("other", "bad")}), 3 * second, map[string][]string{"bad": nil}, []string{"other"}},
+		{"answered after the block", append(threeEnds, others, event{2 * second, answered("bad")}), 3 * second, nil, nil},
+		{"answered shortly before the first end", []event{{0, endedAfter(second, "t1", "bad")}, {100 * ms, ended("t2", "bad")}, {200 * ms, ended("t3", "bad")}, others}, 3 * second, nil, nil},
+		{"answered long before", []event{{0, endedAfter(5*second, "t1", "bad")}, {100 * ms, ended("t2", "bad")}, {200 * ms, ended("t3", "bad")}, others}, 3 * second, map[string][]string{"bad": nil}, nil},
+		{"no target answers anything", threeEnds, 3 * second, nil, nil},
 		{"all targets end together, the part was answered until then", []event{
 			{0, endedAfter(300*ms, "t1", "a")}, {0, ended("t2", "a")}, {0, ended("t3", "a")}, {0, ended("t4", "a")}, {300 * ms, answered("c")},
-		}, 3 * second, nil},
-		{"several reports of each end", []event{{0, ended("t1", "bad")}, {10 * ms, ended("t1", "bad")}, {20 * ms, ended("t1", "bad")}, {100 * ms, ended("t2", "bad")}, others}, 3 * second, nil},
-		{"target that restarts under its name", []event{{0, ended("t", "bad")}, {3 * second, ended("t", "bad")}, {6 * second, ended("t", "bad")}, {7 * second, answered("a")}}, 9 * second, map[string][]string{"bad": nil}},
+		}, 3 * second, nil, nil},
+		{"several reports of each end", []event{{0, ended("t1", "bad")}, {10 * ms, ended("t1", "bad")}, {20 * ms, ended("t1", "bad")}, {100 * ms, ended("t2", "bad")}, others}, 3 * second, nil, nil},
+		{"target that restarts under its name", []event{{0, ended("t", "bad")}, {3 * second, ended("t", "bad")}, {6 * second, ended("t", "bad")}, {7 * second, answered("a")}}, 9 * second, map[string][]string{"bad": nil}, nil},
 		{"part that comes with the cause each time", []event{
 			{0, ended("t1", "rare", "bad")}, {100 * ms, ended("t2", "rare", "bad")}, {200 * ms, ended("t3", "rare", "bad")}, others,
-		}, 3 * second, map[string][]string{"bad": {"rare"}, "rare": {"bad"}}},
+		}, 3 * second, map[string][]string{"bad": {"rare"}, "rare": {"bad"}}, nil},
 		{"part that comes with the cause mostly", []event{
 			{0, ended("t1", "rare", "bad")}, {100 * ms, ended("t2", "rare", "bad")}, {200 * ms, ended("t3", "rare", "bad")}, {250 * ms, ended("t4", "bad")}, others,
-		}, 3 * second, map[string][]string{"bad": nil, "rare": {"bad"}}},
-		{"over after the block's time", append(threeEnds, others), blockTime + second, nil},
-		{"another end after the block's time", append(threeEnds, others, event{2 * second, Report{}}, event{blockTime + second, ended("t9", "bad")}), blockTime + 2*second, map[string][]string{"bad": nil}},
-		{"blocks of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: "bad", With: []string{"x"}, Left: time.Minute}}}}}, second, map[string][]string{"bad": {"x"}}},
-		{"over, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: "bad", Left: time.Minute}}}}}, 2 * time.Minute, nil},
-		{"answered, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: "bad", Left: time.Minute}}}}, {second, answered("bad")}}, 2 * second, nil},
+		}, 3 * second, map[string][]string{"bad": nil, "rare": {"bad"}}, nil},
+		{"over after the block's time", append(threeEnds, others), blockTime + second, nil, nil},
+		{"another end after the block's time", append(threeEnds, others, event{2 * second, Report{}}, event{blockTime + second, ended("t9", "bad")}), blockTime + 2*second, map[string][]string{"bad": nil}, nil},
+		{"blocks of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: Part{"lm", "bad"}, With: Parts("lm", []string{"x"}), Left: time.Minute}}}}}, second, map[string][]string{"bad": {"x"}}, nil},
+		{"over, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: Part{"lm", "bad"}, Left: time.Minute}}}}}, 2 * time.Minute, nil, nil},
+		{"answered, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: Part{"lm", "bad"}, Left: time.Minute}}}}, {second, answered("bad")}}, 2 * second, nil, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -89,7 +94,12 @@
 			got := map[string][]string{}
 			for _, b := range table.Blocks() {
 				qt.Check(t, b.Left > 0, qt.IsTrue)
-				got[b.Part] = b.With
+				qt.Check(t, b.Part.Service, qt.Equals, "lm")
+				qt.Check(t, b.Except, qt.DeepEquals, test.except)
+				got[b.Part.ID] = nil
+				for _, w := range b.With {
+					got[b.Part.ID] = append(got[b.Part.ID], w.ID)
+				}
 			}
 			if test.want == nil {
 				test.want = map[string][]string{}
--- a/internal/role/replica/quarantine.go
+++ b/internal/role/replica/quarantine.go
@@ -117,24 +117,24 @@
 // sameBlock reports whether a block was neither narrowed, widened nor renewed since it was
 // published. Renewals that add less than a second do not count.
 func sameBlock(a, published quarantine.Block) bool {
-	return a.Part == published.Part && slices.Equal(a.With, published.With) && a.Left <= published.Left+time.Second
+	return a.Part == published.Part && slices.Equal(a.With, published.With) && slices.Equal(a.Except, published.Except) && a.Left <= published.Left+time.Second
 }
 
 // logQuarantine logs what differs from the published quarantine. The lock is held.
-func (h *Host) logQuarantine(suspects []string, blocks []quarantine.Block) {
+func (h *Host) logQuarantine(suspects []quarantine.Part, blocks []quarantine.Block) {
 	for _, p := range suspects {
 		if !slices.Contains(h.quarantine.last.value.Suspects, p) {
-			h.Logger.WithField("part", p).Warn("targets end with this part of a prompt")
+			h.Logger.WithFields(log.Fields{"service": p.Service, "part": p.ID}).Warn("targets end with this part of a prompt")
 		}
 	}
 	for _, b := range blocks {
 		if !slices.ContainsFunc(h.quarantine.last.value.Blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
-			h.Logger.WithFields(log.Fields{"part": b.Part, "with": b.With, "left": b.Left.String()}).Warn("part of prompts blocked")
+			h.Logger.WithFields(log.Fields{"service": b.Part.Service, "part": b.Part.ID, "with": b.With, "except": b.Except, "left": b.Left.String()}).Warn("part of prompts blocked")
 		}
 	}
 	for _, b := range h.quarantine.last.value.Blocks {
 		if !slices.ContainsFunc(blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
-			h.Logger.WithField("part", b.Part).Info("part of prompts no longer blocked")
+			h.Logger.WithFields(log.Fields{"service": b.Part.Service, "part": b.Part.ID}).Info("part of prompts no longer blocked")
 		}
 	}
 }
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -96,9 +96,9 @@
 		return rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "item: %v", err)
 	}
 	parts := w.sharedParts(&item)
-	if part, _, blocked := h.crashes.Blocked(parts); blocked {
+	if part, _, blocked := h.crashes.Blocked(i.Service, parts); blocked {
 		t.returnDelay = blockedItemDelay
-		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "targets end when they answer prompts with the part %s", part)
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "targets of service %q end when they answer prompts with the part %s", i.Service, part)
 	}
 	q := &target.Request{Method: http.MethodPost, Host: route.Path.Host, Path: item.Path, Body: item.Body, Idempotent: true}
 	own := h.Dialect.TargetHeaders(rhubarbgate.TargetCall{Request: item.ID, Instance: i.ID, Workspace: t.grant.Workspace})
@@ -121,7 +121,7 @@
 		w.recordBreak(t, i, parts, answeringSince, e)
 	}
 	if e == nil {
-		h.crashes.RecordAnswer(parts)
+		h.crashes.RecordAnswer(i.Service, parts)
 	}
 	return e
 }
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -175,7 +175,7 @@
 			x := &platformtest.Target{}
 			w, task := newBatchOnlyWorker(t, x, clockwork.NewRealClock())
 			w.host.crashes.Update(control.Quarantine{
-				Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: "bad", Left: time.Minute}},
+				Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: quarantine.Part{Service: "lm", ID: "bad"}, Left: time.Minute}},
 			}, w.clock.Now())
 			var err error
 			task.grant.Line, err = wire.Marshal(&rhubarbgate.JobItem{ID: "item", Path: "/b/x", Headers: []rhubarbgate.Header{{Name: "X-Prompt-Prefix", Value: test.prompt}}})
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -127,7 +127,7 @@
 type Quarantine struct {
 	Version LeaderVersion
 	// Suspects are parts that will be blocked unless a daemon reports an answer to them.
-	Suspects []string
+	Suspects []quarantine.Part
 	Blocks   []quarantine.Block
 }
 
@@ -152,7 +152,7 @@
 	// Term is that of the leader, which has kept the report until the term ends.
 	Term uint64
 	// Released are parts of reported blocks that were answered since.
-	Released []string
+	Released []quarantine.Part
 }
 
 // TargetList is the platform's list of targets as a control host last read it.
