rpc/control: hosts that name each other as leader do not make a busy loop

A client whose control hosts name each other as the leader, as they may between two elections, sent calls as fast as the network takes them: 6,328 in 0.5 s in the test, for as long as the call lasts; its process and both hosts were busy with it. Cause: each redirect was followed at once. Change: only the first redirect in a row is followed at once, then the client waits 50 ms, as without a leader. Result: TestHostsThatNameEachOther failed before (22 calls may be made) and passes.

--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -128,13 +128,14 @@
 
 // call sends in to the leader of a group. It follows redirects and retries errors with
 // CodeUnavailable until ctx ends. It fails immediately with other errors, and if no host
-// is known.
+// is known. Only the first redirect in a row is followed without a wait: hosts that have not
+// heard of a new leader may name each other.
 func call[Out, In any, P interface {
 	*Out
 	redirector
 }](ctx context.Context, c *Client, group uint32, method string, in *In) (*Out, error) {
 	verdict := rhubarbgate.NotRun
-	for {
+	for redirects := 0; ; {
 		a := c.chooseHost(group)
 		if !a.IsValid() {
 			return nil, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, verdict, "no host of group %d is known yet", group).WithRetryAfter(time.Second)
@@ -150,9 +151,10 @@
 				return out, nil
 			}
 			c.setLeader(group, c.unlessAvoided(leader))
-			if leader.IsValid() && leader != a && ctx.Err() == nil && !c.isAvoided(leader) {
+			if redirects++; redirects == 1 && leader.IsValid() && leader != a && ctx.Err() == nil && !c.isAvoided(leader) {
 				continue
 			}
+			redirects = 0
 		} else {
 			e := rhubarbgate.AsError(err)
 			if e.Code != rhubarbgate.CodeUnavailable {
--- a/internal/rpc/control/client_test.go
+++ b/internal/rpc/control/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,3 +77,36 @@
 	clock.Advance(avoidDuration + time.Second)
 	qt.Assert(t, c.isAvoided(frozen), qt.IsFalse)
 }
+
+// TestHostsThatNameEachOther guards against a client and two hosts that are busy with calls for as
+// long as each of the hosts takes the other for the leader, as they may during an election.
+func TestHostsThatNameEachOther(t *testing.T) {
+	var listeners []net.Listener
+	var hosts []netip.AddrPort
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		listeners, hosts = append(listeners, l), append(hosts, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	var calls atomic.Int32
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for i, l := range listeners {
+		m := wire.NewMux()
+		wire.Unary(m, MethodDocument, wire.Operators, func(context.Context, *Document) (*DocumentReply, error) {
+			calls.Add(1)
+			return &DocumentReply{Routing: Routing{NotLeader: true, Leader: hosts[1-i]}}, nil
+		})
+		go func() { _ = m.Serve(ctx, l) }()
+	}
+	c := &Client{Wire: wire.NewClient(nil), Hosts: hosts, Clock: clockwork.NewRealClock()}
+	defer c.Wire.Close()
+	const duration = 500 * time.Millisecond
+	call, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	_, err := c.Document(call)
+	qt.Assert(t, err, qt.IsNotNil)
+	// A redirect may be followed at once, then the client waits.
+	most := 2 * (int32(duration/retryInterval) + 1)
+	qt.Assert(t, calls.Load() <= most, qt.IsTrue, qt.Commentf("%d calls, %d may be made", calls.Load(), most))
+}
