rpc/wire: a shortage while accepting a connection does not end the process

A control host, side or store host ended when accept failed once: out of file descriptors for a moment, or a peer that gave up. Its callers lost a replica or a target's side for a restart. Cause: Mux.Serve returned at any error of the listener, and the process ends with it. Change: shortages (descriptors, buffers, memory) and aborted connections are retried after 20 ms; other errors end it as before.

--- a/internal/rpc/wire/mux.go
+++ b/internal/rpc/wire/mux.go
@@ -6,8 +6,11 @@
 	"net"
 	"runtime/debug"
 	"slices"
+	"syscall"
+	"time"
 
 	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
@@ -36,13 +39,15 @@
 type Mux struct {
 	// OnPanic, if set, is called after a handler panicked.
 	OnPanic func(method string, value any, stack []byte)
+	// Clock paces attempts to accept connections; NewMux sets the real one.
+	Clock clockwork.Clock
 
 	methods map[string]method
 }
 
 // NewMux returns a Mux without methods.
 func NewMux() *Mux {
-	return &Mux{methods: map[string]method{}}
+	return &Mux{Clock: clockwork.NewRealClock(), methods: map[string]method{}}
 }
 
 // LogPanics returns a function for Mux.OnPanic that logs to l.
@@ -117,7 +122,22 @@
 	return h.handle(s)
 }
 
-// Serve serves RPCs on l until ctx ends or l fails, and then waits for the open
+// acceptPause is the time before the next attempt to accept a connection after one failed because
+// a resource was short. Connections that end meanwhile free some.
+const acceptPause = 20 * time.Millisecond
+
+// isTemporary reports whether accepting a connection failed in a way that passes: the listener is
+// sound.
+func isTemporary(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// Serve serves RPCs on l until ctx ends or l fails for good, and then waits for the open
 // connections to end.
 func (m *Mux) Serve(ctx context.Context, l net.Listener) error {
 	s := drpcserver.NewWithOptions(m, drpcserver.Options{Manager: managerOptions()})
@@ -130,6 +150,13 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if isTemporary(err) {
+			select {
+			case <-ctx.Done():
+			case <-m.Clock.After(acceptPause):
+			}
+			continue
+		}
 		if err != nil {
 			return errors.Trace(err)
 		}
