quarantine: simultaneous ends count once, and long answers while they go on

Cause: parts that several items share were blocked though sound. Their answers take 5 s or are preempted, so that none was recorded; when several targets ended at the same moment, three of them with the part just begun were enough to suspect it, and no daemon objected. Change: ends of targets within 0.1 s count as one; a response that goes on for 0.5 s counts as an answer, and again every second; a resumed request is no evidence, since an earlier target answered it. Result: the case "several targets end at the same moment" of TestBlocks failed before; TestEvidence and TestProgressCountsAsAnswer are new.

--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -37,6 +37,9 @@
 	Parts []string
 	// Answering is how long ago the first event of the response had come, 0 if none had.
 	Answering time.Duration
+	// Resumed says that an earlier target had begun to answer the request. That shows the prompt
+	// to be sound, so this break is no evidence against it.
+	Resumed bool
 	// At is when the response broke off.
 	At time.Time
 	// Fields describe the request in the log, Cause says how the response broke off.
@@ -44,6 +47,33 @@
 	Cause  string
 }
 
+// Progress follows the events of one response.
+type Progress struct{ firstAt, recordedAt time.Time }
+
+// recordInterval is how often the progress of a response is recorded as an answer.
+const recordInterval = time.Second
+
+// Event records an event of the response. It reports whether the response now shows that the
+// target answers the prompt: it has gone on for a while, or for a while again.
+func (p *Progress) Event(now time.Time) (answered bool) {
+	if p.firstAt.IsZero() {
+		p.firstAt = now
+	}
+	if now.Sub(p.firstAt) < soundAfter || now.Sub(p.recordedAt) < recordInterval {
+		return false
+	}
+	p.recordedAt = now
+	return true
+}
+
+// Answering returns how long ago the first event came, 0 if none came.
+func (p *Progress) Answering(now time.Time) time.Duration {
+	if p.firstAt.IsZero() {
+		return 0
+	}
+	return now.Sub(p.firstAt)
+}
+
 // Recorder records broken responses, and checks whether the target has ended. Set the
 // exported fields before Run. A nil Recorder records nothing and blocks nothing.
 type Recorder struct {
@@ -120,8 +150,8 @@
 	}
 }
 
-// RecordAnswer records a complete answer of a target of the service to a prompt with the given
-// parts.
+// RecordAnswer records an answer of a target of the service to a prompt with the given parts,
+// which is complete or has gone on for a while.
 func (r *Recorder) RecordAnswer(service string, ids []string) {
 	if r == nil || len(ids) == 0 {
 		return
@@ -219,7 +249,7 @@
 
 // recordEnd records that the target of a break has ended.
 func (r *Recorder) recordEnd(b Break) {
-	if len(b.Parts) == 0 {
+	if len(b.Parts) == 0 || b.Resumed {
 		return
 	}
 	if b.Answering >= soundAfter {
--- a/internal/controller/crashes/report_test.go
+++ b/internal/controller/crashes/report_test.go
@@ -169,3 +169,51 @@
 	_, ok = a.newest(quarantine.Part{ID: "x"})
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// TestEvidence guards against counting the end of a target against prompts that targets had
+// answered before, as those of long responses and of resumed ones.
+func TestEvidence(t *testing.T) {
+	tests := []struct {
+		name  string
+		b     Break
+		parts int // that count
+	}{
+		{"no event yet", Break{Parts: []string{"a", "b"}}, 2},
+		{"just begun", Break{Parts: []string{"a", "b"}, Answering: soundAfter / 2}, 2},
+		{"answering", Break{Parts: []string{"a", "b"}, Answering: soundAfter}, 0},
+		{"resumed", Break{Parts: []string{"a", "b"}, Resumed: true}, 0},
+		{"without a prompt", Break{}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var term atomic.Uint64
+			r, _ := newTestRecorder(t, &term, nil)
+			test.b.Target, test.b.At = endedTarget(t, r), r.Clock.Now()
+			r.recordEnd(test.b)
+			parts := 0
+			for _, e := range r.ends {
+				parts += len(e.parts)
+			}
+			qt.Assert(t, parts, qt.Equals, test.parts)
+			_, answered := r.answers.newest(quarantine.Part{Service: "lm", ID: "a"})
+			qt.Assert(t, answered, qt.Equals, test.b.Answering >= soundAfter)
+		})
+	}
+}
+
+// TestProgressCountsAsAnswer guards against parts of prompts whose answers take long, as those of
+// batch items, and that seem unanswered until the first one is complete.
+func TestProgressCountsAsAnswer(t *testing.T) {
+	start := time.Now()
+	var p Progress
+	qt.Assert(t, p.Answering(start), qt.Equals, time.Duration(0))
+	answered := 0
+	for at := time.Duration(0); at <= 5*time.Second; at += 20 * time.Millisecond {
+		if p.Event(start.Add(at)) {
+			qt.Assert(t, at >= soundAfter, qt.IsTrue)
+			answered++
+		}
+	}
+	qt.Assert(t, answered, qt.Equals, 5)
+	qt.Assert(t, p.Answering(start.Add(5*time.Second)), qt.Equals, 5*time.Second)
+}
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -63,6 +63,8 @@
 	possibleRuns int
 	// verdict is the worst verdict of all attempts.
 	verdict rhubarbgate.Verdict
+	// resumed says that an earlier attempt passed on events.
+	resumed bool
 }
 
 // attempt is one sending of the request to one target.
@@ -73,8 +75,7 @@
 	head     rhubarbgate.TargetResponse
 	cancel   context.CancelFunc
 	finished bool
-	// answeringSince is when the first data of the response's body arrived.
-	answeringSince time.Time
+	progress crashes.Progress // of the response's body
 }
 
 // forward sends the request to a target. After a failure it sends it to another target,
@@ -353,7 +354,7 @@
 	}
 	a.copyHead()
 	if len(body) > maxBufferedBytes {
-		a.answeringSince = a.server.Clock.Now()
+		a.progress.Event(a.server.Clock.Now())
 		a.x.HTTP.Response.SetBodyStream(&longBody{attempt: a, buffered: body, remaining: maxResponseBytes - len(body)}, -1)
 		return nil
 	}
@@ -396,9 +397,9 @@
 		return
 	}
 	now := a.server.Clock.Now()
-	b := crashes.Break{Target: a.target, Parts: a.x.Call.SharedParts(), At: now, Fields: a.x.fields(now), Cause: e.Message}
-	if !a.answeringSince.IsZero() {
-		b.Answering = now.Sub(a.answeringSince)
+	b := crashes.Break{
+		Target: a.target, Parts: a.x.Call.SharedParts(), At: now, Answering: a.progress.Answering(now), Resumed: a.resumed,
+		Fields: a.x.fields(now), Cause: e.Message,
 	}
 	b.Fields["sent"] = len(a.tried)
 	a.server.Crashes.RecordBreak(b)
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -50,8 +50,8 @@
 // setEvent makes e the next event to read.
 func (r *streamBody) setEvent(e events.Event) {
 	r.unread = e.Raw
-	if r.answeringSince.IsZero() {
-		r.answeringSince = r.server.Clock.Now()
+	if r.progress.Event(r.server.Clock.Now()) {
+		r.recordAnswer()
 	}
 	if e.ID != "" {
 		r.lastEventID = e.ID
@@ -109,6 +109,7 @@
 		return false
 	}
 	q.request.Headers = withHeader(q.request.Headers, lastEventHeader, r.lastEventID)
+	q.resumed = true
 	for range maxAttempts {
 		if !s.shouldRetry(q, e) {
 			break
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// minCrashes is how many targets must have ended, with no answer to the part in between,
-	// before the part is suspected. Fewer happen by chance when targets end for other reasons.
-	minCrashes = 3
+	// minMoments is at how many moments targets must have ended, with no answer to the part in
+	// between, before the part is suspected. Fewer happen by chance when targets end for other
+	// reasons.
+	minMoments = 3
+	// sameMoment is the time within which the ends of several targets have one cause, such as the
+	// loss of a rack. Requests that crash targets come at different times.
+	sameMoment = 100 * time.Millisecond
 	// answerMargin is how long after an answer to a part the end of a target counts against
 	// the part: an answer and an end that are closer may have been in flight together.
 	answerMargin = 2 * time.Second
@@ -187,9 +191,9 @@
 		ids[p.ID] = true
 	}
 	maps.DeleteFunc(t.answers, func(p Part, _ time.Time) bool { return !ids[p.ID] })
-	maps.DeleteFunc(t.suspected, func(p Part, _ time.Time) bool { return crashes[p] < minCrashes || !t.isSuspect(p) })
+	maps.DeleteFunc(t.suspected, func(p Part, _ time.Time) bool { return crashes[p] < minMoments || !t.isSuspect(p) })
 	for p, n := range crashes {
-		if n >= minCrashes && t.suspected[p].IsZero() && t.isSuspect(p) {
+		if n >= minMoments && t.suspected[p].IsZero() && t.isSuspect(p) {
 			t.suspected[p] = now
 		}
 	}
@@ -212,7 +216,25 @@
 // answered. If none answers anything, the cause is not in the prompts. The lock is held.
 func (t *Table) isSuspect(part Part) bool {
 	c := t.counted(part)
-	return len(c) >= minCrashes && slices.ContainsFunc(c, func(x *crash) bool { return t.newestAnswer.After(x.at) })
+	return moments(c) >= minMoments && slices.ContainsFunc(c, func(x *crash) bool { return t.newestAnswer.After(x.at) })
+}
+
+// moments returns at how many different moments the targets ended.
+func moments(c []*crash) int {
+	at := make([]time.Time, len(c))
+	for i, x := range c {
+		at[i] = x.at
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, x := range at {
+		if n == 0 || x.Sub(last) >= sameMoment {
+			n++
+			last = x
+		}
+	}
+	return n
 }
 
 // Suspects returns the parts that are suspected, in order.
--- a/internal/policy/quarantine/table_test.go
+++ b/internal/policy/quarantine/table_test.go
@@ -66,6 +66,15 @@
 		{"all targets end together, the part was answered until then", []event{
 			{0, endedAfter(300*ms, "t1", "a")}, {0, ended("t2", "a")}, {0, ended("t3", "a")}, {0, ended("t4", "a")}, {300 * ms, answered("c")},
 		}, 3 * second, nil, nil},
+		{"several targets end at the same moment", []event{
+			{0, ended("t1", "a")}, {20 * ms, ended("t2", "a")}, {40 * ms, ended("t3", "a")}, {90 * ms, ended("t4", "a")}, {300 * ms, answered("c")},
+		}, 3 * second, nil, nil},
+		{"several targets end at each of three moments", []event{
+			{0, ended("t1", "a")}, {20 * ms, ended("t2", "a")}, {500 * ms, ended("t3", "a")}, {520 * ms, ended("t4", "a")}, {1000 * ms, ended("t5", "a")}, {1300 * ms, answered("c")},
+		}, 3 * second, map[string][]string{"a": nil}, nil},
+		{"many ends, one after the other", []event{
+			{0, ended("t1", "a")}, {50 * ms, ended("t2", "a")}, {100 * ms, ended("t3", "a")}, {150 * ms, ended("t4", "a")}, {200 * ms, ended("t5", "a")}, {300 * ms, answered("c")},
+		}, 3 * second, map[string][]string{"a": nil}, nil},
 		{"several reports of each end", []event{{0, ended("t1", "bad")}, {10 * ms, ended("t1", "bad")}, {20 * ms, ended("t1", "bad")}, {100 * ms, ended("t2", "bad")}, others}, 3 * second, nil, nil},
 		{"target that restarts under its name", []event{{0, ended("t", "bad")}, {3 * second, ended("t", "bad")}, {6 * second, ended("t", "bad")}, {7 * second, answered("a")}}, 9 * second, map[string][]string{"bad": nil}, nil},
 		{"part that comes with the cause each time", []event{
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -110,15 +110,17 @@
 	defer cancel(context.Canceled)
 	stallTimer := w.clock.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
 	defer stallTimer.Stop()
-	var answeringSince time.Time
+	var progress crashes.Progress
+	resumed := t.output.LastID != ""
 	e := w.exchange(ctx, t, q, i, item.ID, func() {
-		if answeringSince.IsZero() {
-			answeringSince = w.clock.Now()
+		if progress.Event(w.clock.Now()) {
+			h.crashes.RecordAnswer(i.Service, parts)
 		}
 		stallTimer.Reset(itemStallTimeout)
 	})
 	if e != nil && e.Code == rhubarbgate.CodeUpstream && e.Verdict == rhubarbgate.MayHaveRun && ctx.Err() == nil {
-		w.recordBreak(t, i, parts, answeringSince, e)
+		now := w.clock.Now()
+		w.recordBreak(t, i, crashes.Break{Parts: parts, At: now, Answering: progress.Answering(now), Resumed: resumed, Cause: e.Message})
 	}
 	if e == nil {
 		h.crashes.RecordAnswer(i.Service, parts)
@@ -148,19 +150,12 @@
 	return e
 }
 
-// recordBreak records that the target broke off the response to an item with the error e.
-func (w *worker) recordBreak(t *task, i rhubarbgate.Instance, parts []string, answeringSince time.Time, e *rhubarbgate.Error) {
-	x := w.host.Targets.Target(i)
-	if x == nil {
+// recordBreak records that the target broke off the response to an item.
+func (w *worker) recordBreak(t *task, i rhubarbgate.Instance, b crashes.Break) {
+	if b.Target = w.host.Targets.Target(i); b.Target == nil {
 		return
 	}
-	now := w.clock.Now()
-	b := crashes.Break{Target: x, Parts: parts, At: now, Cause: e.Message, Fields: log.Fields{
-		"job": t.grant.Ref.Job, "index": t.grant.Ref.Index, "attempt": t.grant.Ref.Attempt, "workspace": t.grant.Workspace,
-	}}
-	if !answeringSince.IsZero() {
-		b.Answering = now.Sub(answeringSince)
-	}
+	b.Fields = log.Fields{"job": t.grant.Ref.Job, "index": t.grant.Ref.Index, "attempt": t.grant.Ref.Attempt, "workspace": t.grant.Workspace}
 	w.host.crashes.RecordBreak(b)
 }
 
