target limits: limited targets are spared while others are idle

Cause: in the valleys requests went to limited targets as to others and used up their tokens, while targets without a limit were idle; at a wave's top each holder had one token at most. Change: a limited target costs 0.6 requests more in the choice; buckets keep two seconds' tokens, for large rates one second's and four; a rate has three holders more than requests a second at most, so that buckets of one token do not add up.

--- a/internal/controller/targetlimits/claim.go
+++ b/internal/controller/targetlimits/claim.go
@@ -87,7 +87,7 @@
 			x = k.add(limit.Target, "")
 		}
 		k.refill(x)
-		x.listed, x.share, x.term = true, 0, l.Version.Term
+		x.listed, x.perSecond, x.share, x.term = true, limit.PerSecond, 0, l.Version.Term
 		if i := slices.IndexFunc(limit.Holders, func(h apportion.Holder) bool { return h.Process == k.Process }); i >= 0 {
 			x.share = limit.Holders[i].PerSecond
 		} else {
--- a/internal/controller/targetlimits/keeper.go
+++ b/internal/controller/targetlimits/keeper.go
@@ -26,8 +26,10 @@
 	// earlierLeaderTTL is how long shares of the earlier leader are used after another one has
 	// published its first list.
 	earlierLeaderTTL = 5 * time.Second
-	// burstTime is the time for which unused shares accumulate, but up to one request at least.
-	burstTime = time.Second
+	// burstTime is the time for which unused tokens accumulate, but up to one at least. All holders
+	// of a target's limit together keep no more than a second's tokens and burstTokens.
+	burstTime   = 2 * time.Second
+	burstTokens = 4
 	// noShareRetryAfter is the Retry-After if this process has no share of any target: the time
 	// until the control hosts may have given it one.
 	noShareRetryAfter = time.Second
@@ -65,9 +67,10 @@
 	stated   apportion.Statement
 	statedAt time.Time
 	// listed says that the control hosts list the limit, and share is this process's part.
-	listed bool
-	share  float64
-	term   uint64 // of the leader that listed it
+	listed    bool
+	perSecond float64 // of all processes, as it is divided
+	share     float64
+	term      uint64 // of the leader that listed it
 
 	tokens  float64
 	tokenAt time.Time
@@ -155,30 +158,39 @@
 func (k *Keeper) refill(x *limited) {
 	now := k.Clock.Now()
 	rate := k.rate(x)
-	x.tokens = math.Min(x.tokens+rate*now.Sub(x.tokenAt).Seconds(), math.Max(1, rate*burstTime.Seconds()))
+	x.tokens = math.Min(x.tokens+rate*now.Sub(x.tokenAt).Seconds(), k.maxTokens(x, rate))
 	x.tokenAt = now
 }
 
-// Available reports whether a request may be sent to the target now, and if not, after which time.
-func (k *Keeper) Available(target string) (ok bool, wait time.Duration) {
+// maxTokens returns how many tokens this process may keep at the given rate. The lock is held.
+func (k *Keeper) maxTokens(x *limited, rate float64) float64 {
+	if !k.isListed(x) || x.perSecond <= 0 {
+		return 1
+	}
+	return math.Max(1, rate*math.Min(burstTime.Seconds(), 1+burstTokens/x.perSecond))
+}
+
+// Available reports whether the target has a limit, and whether a request may be sent to it now or
+// else after which time.
+func (k *Keeper) Available(target string) (limited, ok bool, wait time.Duration) {
 	if k == nil {
-		return true, 0
+		return false, true, 0
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	x := k.targets[target]
 	if x == nil || !k.isLimited(x) {
-		return true, 0
+		return false, true, 0
 	}
 	k.refill(x)
 	if x.tokens >= 1 {
-		return true, 0
+		return true, true, 0
 	}
 	rate := k.rate(x)
 	if rate <= 0 {
-		return false, noShareRetryAfter
+		return true, false, noShareRetryAfter
 	}
-	return false, time.Duration((1 - x.tokens) / rate * float64(time.Second))
+	return true, false, time.Duration((1 - x.tokens) / rate * float64(time.Second))
 }
 
 // Take spends a token of the target's limit, or returns false if there is none.
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -245,8 +245,9 @@
 	limited := 0
 	wait := maxLimitWait
 	for i := 0; i < len(list); {
-		ok, untilToken := s.Limits.Available(list[i].Name())
+		limitedTarget, ok, untilToken := s.Limits.Available(list[i].Name())
 		if ok {
+			candidates[i].Limited = limitedTarget
 			i++
 			continue
 		}
--- a/internal/policy/apportion/table.go
+++ b/internal/policy/apportion/table.go
@@ -28,6 +28,9 @@
 	// minShare is the smallest rate that a process gets, in requests a second. More processes
 	// than that allows do not send to the target at all: their parts would lie unused.
 	minShare = 0.5
+	// extraHolders is how many more processes than a rate has requests a second may hold a part:
+	// each holder may keep one token at least, and all send theirs when a wave begins.
+	extraHolders = 3
 	// minRate is the rate that is divided if the target states less, so that a response shows when
 	// its limit ends.
 	minRate = 0.1
@@ -228,7 +231,7 @@
 	if beside != "" {
 		rate *= 1 - besideShare
 	}
-	holders = min(entries, max(1, int(rate/minShare)))
+	holders = min(entries, max(1, int(rate/minShare)), int(x.perSecond)+extraHolders)
 	if beside != "" {
 		holders++
 	}
--- a/internal/policy/pick/least.go
+++ b/internal/policy/pick/least.go
@@ -23,6 +23,9 @@
 	// connectCost is the cost of opening a connection. It decides only between targets
 	// that are equal otherwise: a new connection delays the request, and may hold a slot.
 	connectCost = 0.04
+	// limitedCost is the cost of a target that states a limit. Such a target is spared while others
+	// are nearly idle, which also saves its tokens for when they are not.
+	limitedCost = 0.6
 )
 
 // LeastRequests picks the candidate with the fewest requests of this entry in flight
@@ -66,5 +69,9 @@
 	if c.Connected {
 		connect = 0
 	}
-	return connect + float64(c.InFlight) + queuedCost*float64(c.Queued) + occupiedCost*float64(c.Reported)/slots + distanceCost*float64(c.Distance-1)
+	limited := 0.0
+	if c.Limited {
+		limited = limitedCost
+	}
+	return connect + limited + float64(c.InFlight) + queuedCost*float64(c.Queued) + occupiedCost*float64(c.Reported)/slots + distanceCost*float64(c.Distance-1)
 }
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -110,3 +110,25 @@
 		}
 	}
 }
+
+// TestLimitedTargetsAreSpared guards against spending the few requests that a target in need takes
+// while others are idle, and against leaving it out when they are not.
+func TestLimitedTargetsAreSpared(t *testing.T) {
+	tests := []struct {
+		name     string
+		inFlight int // at the other target
+		want     int
+	}{
+		{"other idle", 0, 1},
+		{"other busy", 1, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := &LeastRequests{Random: rand.New(rand.NewPCG(1, 1))}
+			got := l.Pick(rhubarbgate.PickRequest{}, []rhubarbgate.Candidate{
+				{Name: "limited", Distance: 1, Slots: 8, Limited: true, Connected: true}, {Name: "other", Distance: 1, Slots: 8, InFlight: test.inFlight},
+			})
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -110,7 +110,8 @@
 	if h.Probe == nil {
 		return true, 0
 	}
-	return h.limits.Available(h.targetName())
+	_, ok, wait = h.limits.Available(h.targetName())
+	return ok, wait
 }
 
 // targetUsable reports whether the target is listed and not leaving.
--- a/picker.go
+++ b/picker.go
@@ -26,6 +26,8 @@
 	Wait time.Duration
 	// Connected says that an open connection to the target can carry the request.
 	Connected bool
+	// Limited says that the target states a limit, of which this entry has a token left.
+	Limited bool
 	// Latency is this entry's moving average of the target's latency: the time to the
 	// first data of a response and, for streams, the gaps between tokens.
 	Latency time.Duration
