quarantine: moments at which several targets end count once a second

On fleets of 89 to 108 hosts busy entries notice the ends of one moment over several tenths of a second, so that they looked like three. Change: moments with the ends of several targets count only if they are a second apart; those of single targets as before.

--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -16,9 +16,12 @@
 	// between, before the part is suspected. Fewer happen by chance when targets end for other
 	// reasons.
 	minMoments = 3
-	// sameMoment is the time within which the ends of several targets have one cause, such as the
-	// loss of a rack. Requests that crash targets come at different times.
+	// sameMoment is the time within which the ends of several targets may have one cause, such as
+	// the loss of a rack. Requests that crash targets come at different times.
 	sameMoment = 100 * time.Millisecond
+	// sharedMomentInterval is the time between two moments with the ends of several targets that
+	// count. Busy processes notice the ends of one moment over several tenths of a second.
+	sharedMomentInterval = time.Second
 	// answerMargin is how long after an answer to a part the end of a target counts against
 	// the part: an answer and an end that are closer may have been in flight together.
 	answerMargin = 2 * time.Second
@@ -216,23 +219,29 @@
 // answered. If none answers anything, the cause is not in the prompts. The lock is held.
 func (t *Table) isSuspect(part Part) bool {
 	c := t.counted(part)
-	return moments(c) >= minMoments && slices.ContainsFunc(c, func(x *crash) bool { return t.newestAnswer.After(x.at) })
+	return t.moments(c) >= minMoments && slices.ContainsFunc(c, func(x *crash) bool { return t.newestAnswer.After(x.at) })
 }
 
-// moments returns at how many different moments the targets ended.
-func moments(c []*crash) int {
-	at := make([]time.Time, len(c))
-	for i, x := range c {
-		at[i] = x.at
-	}
-	slices.SortFunc(at, time.Time.Compare)
+// moments returns at how many different moments the targets ended. Moments at which several targets
+// ended, with the part or without, count only if they are far apart. The lock is held.
+func (t *Table) moments(c []*crash) int {
+	c = slices.Clone(c)
+	slices.SortFunc(c, func(a, b *crash) int { return a.at.Compare(b.at) })
 	n := 0
-	var last time.Time
-	for _, x := range at {
-		if n == 0 || x.Sub(last) >= sameMoment {
-			n++
-			last = x
+	var last, lastShared time.Time
+	for _, x := range c {
+		if n > 0 && x.at.Sub(last) < sameMoment {
+			continue
+		}
+		shared := slices.ContainsFunc(t.crashes, func(o *crash) bool { return o != x && o.at.Sub(x.at).Abs() < sameMoment })
+		if shared && !lastShared.IsZero() && x.at.Sub(lastShared) < sharedMomentInterval {
+			continue
+		}
+		if shared {
+			lastShared = x.at
 		}
+		n++
+		last = x.at
 	}
 	return n
 }
