--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -26,8 +26,10 @@
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
 	"rhubarbgate.example/rhubarbgate/internal/controller/batch"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/order"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/peer"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -133,8 +135,9 @@
 	roster        roster
 	fleet         *fleet.Machine // nil on store hosts
 	targets       atomic.Pointer[timedTargetList]
-	quarantine    quarantineState
-	limits        targetLimitsState
+	quarantine    published[control.Quarantine, quarantine.Table]
+	limits        published[[]apportion.Limit, apportion.Table]
+	nextLimitsAt  time.Time     // when updateTargetLimits next reads the table
 	groups        []*raft.Group // by group ID; the fleet group is nil on store hosts
 	jobGroups     []*leadership // by group ID - 1
 	transport     *peer.Transport
--- a/internal/role/replica/targetlimits.go
+++ b/internal/role/replica/targetlimits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -16,17 +15,6 @@
 // limits.
 const limitsInterval = 200 * time.Millisecond
 
-// targetLimitsState is the targets' limits as this control host knows them. Processes keep their
-// shares until a new leader has divided the rates.
-type targetLimitsState struct {
-	mu   sync.Mutex
-	last published[[]apportion.Limit]
-	// table divides the rates while this host leads the fleet group in term.
-	table  *apportion.Table
-	term   uint64
-	nextAt time.Time
-}
-
 // TargetLimits implements configuration.Source.
 func (h *Host) TargetLimits() control.TargetLimits {
 	if h.Store {
@@ -35,18 +23,12 @@
 	l := &h.limits
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return control.TargetLimits{Version: l.last.version, Limits: l.last.value}
+	return control.TargetLimits{Version: l.version, Limits: l.value}
 }
 
 // applyTargetLimits takes over the target limits of the leader of the fleet group.
 func (h *Host) applyTargetLimits(in *control.TargetLimits, sent time.Time) {
-	if h.Store || in == nil {
-		return
-	}
-	l := &h.limits
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.last.receive(in.Limits, in.Version, sent) {
+	if !h.Store && in != nil && h.limits.receive(in.Limits, in.Version, sent) {
 		h.notifier.Notify()
 	}
 }
@@ -54,9 +36,6 @@
 // updateTargetLimits publishes the target limits if this host leads the fleet group. A new leader
 // publishes none, which makes the processes claim again.
 func (h *Host) updateTargetLimits() {
-	if h.Store {
-		return
-	}
 	term, leads := h.leadsFleet()
 	if !leads {
 		return
@@ -65,22 +44,20 @@
 	l := &h.limits
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.table == nil || l.term != term {
-		l.table, l.term = &apportion.Table{Clock: h.Clock}, term
-		l.last.begin(nil, term, now)
+	if l.begin(term, &apportion.Table{Clock: h.Clock}, now) {
 		h.notifier.Notify()
 		return
 	}
-	if now.Before(l.nextAt) {
+	if now.Before(h.nextLimitsAt) {
 		return
 	}
-	l.nextAt = now.Add(limitsInterval)
+	h.nextLimitsAt = now.Add(limitsInterval)
 	limits := l.table.Limits()
-	if slices.EqualFunc(limits, l.last.value, sameLimit) {
+	if slices.EqualFunc(limits, l.value, sameLimit) {
 		return
 	}
 	h.logTargetLimits(limits)
-	l.last.replace(limits, now)
+	l.replace(limits, now)
 	h.notifier.Notify()
 }
 
@@ -91,12 +68,13 @@
 
 // logTargetLimits logs the limits that differ from the published ones. The lock is held.
 func (h *Host) logTargetLimits(limits []apportion.Limit) {
+	last := h.limits.value
 	for _, l := range limits {
-		if !slices.ContainsFunc(h.limits.last.value, func(x apportion.Limit) bool { return sameLimit(x, l) }) {
+		if !slices.ContainsFunc(last, func(x apportion.Limit) bool { return sameLimit(x, l) }) {
 			h.Logger.WithFields(log.Fields{"target": l.Target, "perSecond": l.PerSecond, "holders": len(l.Holders)}).Info("limit of a target divided")
 		}
 	}
-	for _, l := range h.limits.last.value {
+	for _, l := range last {
 		if !slices.ContainsFunc(limits, func(x apportion.Limit) bool { return x.Target == l.Target }) {
 			h.Logger.WithField("target", l.Target).Info("limit of a target ended")
 		}
@@ -106,11 +84,8 @@
 // handleClaimLimits handles control.MethodLimits on the leader of the fleet group.
 func (h *Host) handleClaimLimits(_ context.Context, in *control.ClaimLimits) (*control.ClaimLimitsReply, error) {
 	term, leads := h.leadsFleet()
-	l := &h.limits
-	l.mu.Lock()
-	table, tableTerm := l.table, l.term
-	l.mu.Unlock()
-	if !leads || table == nil || tableTerm != term {
+	table := h.limits.tableOf(term)
+	if !leads || table == nil {
 		return &control.ClaimLimitsReply{Routing: h.routing(control.FleetGroup)}, nil
 	}
 	table.Add(&in.Claim)
