quarantine: requests that an entry repeats at once still show what they have in common

A bad request on a resumable route ends two or three targets within two tenths of a second, since its entry repeats it at once. Those looked like one cause outside the requests, of which one a second counts, so that the third moment came 2 s after the first, and the block close to 3 s after the fifth end. Cause: a moment counted as shared from two ends on. Found by working through the rates of resumable routes. Change: from three ends on. Result: the case "requests that are repeated at once" of TestBlocks failed before and passes.

--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -779,7 +779,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			first := &platformtest.Target{Fault: onFirstAttempt(test.fault), CrashPart: "crash", CrashEvents: 2, Downtime: time.Minute}
+			first := &platformtest.Target{Fault: onFirstAttempt(test.fault), CrashPart: "crash", CrashEvents: 2, CrashDelay: 5 * time.Millisecond, Downtime: time.Minute}
 			second := &platformtest.Target{}
 			for _, x := range []*platformtest.Target{first, second} {
 				x.Unframed, x.Events, x.Pace, x.PlainPrefixes = true, events, 5*time.Millisecond, []string{"/safe/"}
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -19,8 +19,11 @@
 	// sameMoment is the time within which the ends of several targets may have one cause, such as
 	// the loss of a rack. Requests that crash targets come at different times.
 	sameMoment = 100 * time.Millisecond
-	// sharedMomentInterval is the time between two moments with the ends of several targets that
-	// count. Busy processes notice the ends of one moment over several tenths of a second.
+	// sharedMomentEnds is how many targets end at a moment that has one cause outside the requests.
+	// Fewer may be due to one request, which is repeated at once on another target.
+	sharedMomentEnds = 3
+	// sharedMomentInterval is the time between two such moments that count. Busy processes notice
+	// the ends of one moment over several tenths of a second.
 	sharedMomentInterval = time.Second
 	// answerMargin is how long after an answer to a part the end of a target counts against
 	// the part: an answer and an end that are closer may have been in flight together.
@@ -222,7 +225,7 @@
 	return t.moments(c) >= minMoments && slices.ContainsFunc(c, func(x *crash) bool { return t.newestAnswer.After(x.at) })
 }
 
-// moments returns at how many different moments the targets ended. Moments at which several targets
+// moments returns at how many different moments the targets ended. Moments at which many targets
 // ended, with the part or without, count only if they are far apart. The lock is held.
 func (t *Table) moments(c []*crash) int {
 	c = slices.Clone(c)
@@ -233,7 +236,7 @@
 		if n > 0 && x.at.Sub(last) < sameMoment {
 			continue
 		}
-		shared := slices.ContainsFunc(t.crashes, func(o *crash) bool { return o != x && o.at.Sub(x.at).Abs() < sameMoment })
+		shared := t.endsAround(x.at) >= sharedMomentEnds
 		if shared && !lastShared.IsZero() && x.at.Sub(lastShared) < sharedMomentInterval {
 			continue
 		}
@@ -246,6 +249,17 @@
 	return n
 }
 
+// endsAround returns how many targets ended within sameMoment of a time. The lock is held.
+func (t *Table) endsAround(at time.Time) int {
+	n := 0
+	for _, x := range t.crashes {
+		if x.at.Sub(at).Abs() < sameMoment {
+			n++
+		}
+	}
+	return n
+}
+
 // Suspects returns the parts that are suspected, in order.
 func (t *Table) Suspects() []Part {
 	t.mu.Lock()
--- a/internal/policy/quarantine/table_test.go
+++ b/internal/policy/quarantine/table_test.go
@@ -69,6 +69,9 @@
 		{"several targets end at the same moment", []event{
 			{0, ended("t1", "a")}, {20 * ms, ended("t2", "a")}, {40 * ms, ended("t3", "a")}, {90 * ms, ended("t4", "a")}, {300 * ms, answered("c")},
 		}, 3 * second, nil, nil},
+		{"requests that are repeated at once, on up to three targets", []event{
+			{0, ended("t1", "a")}, {80 * ms, ended("t2", "a")}, {160 * ms, ended("t3", "a")}, {400 * ms, ended("t4", "a")}, {480 * ms, ended("t5", "a")}, {600 * ms, answered("c")},
+		}, 2 * second, map[string][]string{"a": nil}, nil},
 		{"many targets end at the same moment, some are noticed late", []event{
 			{0, ended("t1", "a")}, {20 * ms, ended("t2", "b")}, {110 * ms, ended("t3", "a")}, {130 * ms, ended("t4", "b")}, {220 * ms, ended("t5", "a")}, {230 * ms, ended("t6", "c")}, {400 * ms, answered("c")},
 		}, 3 * second, nil, nil},
--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -201,20 +201,26 @@
 	tests := []struct {
 		name   string
 		change func(x *platformtest.Target)
+		// routes are those of the requests that crash targets, in turn.
+		routes []string
 	}{
-		{"before the response", func(*platformtest.Target) {}},
-		{"after an event, without a sign that more is missing", func(x *platformtest.Target) { x.Unframed, x.CrashEvents = true, 1 }},
+		{"before the response", func(*platformtest.Target) {}, []string{"stream", "resume"}},
+		{"before the response, repeated by the entry", func(x *platformtest.Target) { x.CrashDelay = 80 * time.Millisecond }, []string{"resume"}},
+		// The event reaches the caller before the connection is closed.
+		{"after an event, without a sign that more is missing", func(x *platformtest.Target) {
+			x.Unframed, x.CrashEvents, x.CrashDelay = true, 1, 10*time.Millisecond
+		}, []string{"stream", "resume"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			startFleet(t, test.change).crashTargets()
+			startFleet(t, test.change).crashTargets(test.routes)
 		})
 	}
 }
 
 // crashTargets sends sound requests and those that crash targets, and checks what reaches targets.
-func (f *fleet) crashTargets() {
+func (f *fleet) crashTargets(routes []string) {
 	t := f.t
 	start := time.Now()
 	ctx, stop := context.WithCancel(context.Background())
@@ -231,7 +237,7 @@
 			break
 		}
 		bad.Go(func() {
-			f.send(n%entryCount, []string{"stream", "resume"}[n/entryCount%2], fmt.Sprintf("bad-%d", n), []string{"common", crashPart, fmt.Sprintf("bad-own-%d", n)})
+			f.send(n%entryCount, routes[n/entryCount%len(routes)], fmt.Sprintf("bad-%d", n), []string{"common", crashPart, fmt.Sprintf("bad-own-%d", n)})
 		})
 		time.Sleep(120 * time.Millisecond)
 	}
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -203,7 +203,7 @@
 		{"complete", &platformtest.Target{}, "", true},
 		{"ends inside an event", &platformtest.Target{Fault: func(string, int) platformtest.Fault { return platformtest.CutStream }}, "", false},
 		{"without an event", &platformtest.Target{Fault: func(string, int) platformtest.Fault { return platformtest.NoEvents }}, "", false},
-		{"ends with its target", &platformtest.Target{CrashPart: "crash", CrashEvents: 2, Pace: 5 * time.Millisecond, Downtime: time.Minute}, "a:1,crash:1,own:1", false},
+		{"ends with its target", &platformtest.Target{CrashPart: "crash", CrashEvents: 2, CrashDelay: 5 * time.Millisecond, Downtime: time.Minute}, "a:1,crash:1,own:1", false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
