--- a/internal/controller/targetlimits/keeper_test.go
+++ b/internal/controller/targetlimits/keeper_test.go
@@ -144,7 +144,7 @@
 // most half as much again in four seconds, and five requests.
 func TestTokensKept(t *testing.T) {
 	for _, perSecond := range []float64{0.5, 1, 2, 3, 8, 40, 200} {
-		k, x, clock := newTestKeeper()
+		_, x, clock := newTestKeeper()
 		table := apportion.Table{Clock: clock}
 		statements := []apportion.Statement{{Target: x.Name(), Service: "lm", PerSecond: perSecond, Limited: true}}
 		for i := range 100 {
@@ -154,7 +154,7 @@
 		clock.Advance(time.Second)
 		kept := 0.0
 		for _, h := range table.Limits()[0].Holders {
-			k, _, clock = newTestKeeper()
+			k, _, clock := newTestKeeper()
 			k.Process = h.Process
 			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 1}, Limits: table.Limits()})
 			clock.Advance(time.Minute)
