entry: a test of requests that crash all targets at once, failing

The quarantine finds the part if targets end at different moments, and the test so far had them back after 0.7 s.

--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -195,32 +195,47 @@
 	return float64(served) / float64(max(n, 1))
 }
 
+// crashingCaller sends requests that crash targets.
+type crashingCaller struct {
+	// routes are those of the requests, in turn.
+	routes []string
+	// interval is the time from one request to the next.
+	interval time.Duration
+}
+
 // TestPromptPartThatCrashesTargets guards against requests with one common part in their prompts
 // ending one target after the other, and against refusing sound requests instead.
 func TestPromptPartThatCrashesTargets(t *testing.T) {
 	tests := []struct {
 		name   string
 		change func(x *platformtest.Target)
-		// routes are those of the requests that crash targets, in turn.
-		routes []string
+		bad    crashingCaller
 	}{
-		{"before the response", func(*platformtest.Target) {}, []string{"stream", "resume"}},
-		{"before the response, repeated by the entry", func(x *platformtest.Target) { x.CrashDelay = 80 * time.Millisecond }, []string{"resume"}},
+		{"before the response", func(*platformtest.Target) {}, crashingCaller{[]string{"stream", "resume"}, 120 * time.Millisecond}},
+		{"before the response, repeated by the entry", func(x *platformtest.Target) { x.CrashDelay = 80 * time.Millisecond }, crashingCaller{[]string{"resume"}, 120 * time.Millisecond}},
 		// The event reaches the caller before the connection is closed.
 		{"after an event, without a sign that more is missing", func(x *platformtest.Target) {
 			x.Unframed, x.CrashEvents, x.CrashDelay = true, 1, 10*time.Millisecond
-		}, []string{"stream", "resume"}},
+		}, crashingCaller{[]string{"stream", "resume"}, 120 * time.Millisecond}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			startFleet(t, test.change).crashTargets(test.routes)
+			startFleet(t, test.change).crashTargets(test.bad)
 		})
 	}
 }
 
+// TestPromptPartThatCrashesAllTargetsAtOnce guards against waiting for targets to end at different
+// moments, while requests with one part in their prompts end all of them as soon as they are back.
+func TestPromptPartThatCrashesAllTargetsAtOnce(t *testing.T) {
+	startFleet(t, func(x *platformtest.Target) {
+		x.CrashDelay, x.Downtime = 80*time.Millisecond, 2500*time.Millisecond
+	}).crashTargets(crashingCaller{[]string{"resume"}, 30 * time.Millisecond})
+}
+
 // crashTargets sends sound requests and those that crash targets, and checks what reaches targets.
-func (f *fleet) crashTargets(routes []string) {
+func (f *fleet) crashTargets(caller crashingCaller) {
 	t := f.t
 	start := time.Now()
 	ctx, stop := context.WithCancel(context.Background())
@@ -237,9 +252,9 @@
 			break
 		}
 		bad.Go(func() {
-			f.send(n%entryCount, routes[n/entryCount%len(routes)], fmt.Sprintf("bad-%d", n), []string{"common", crashPart, fmt.Sprintf("bad-own-%d", n)})
+			f.send(n%entryCount, caller.routes[n/entryCount%len(caller.routes)], fmt.Sprintf("bad-%d", n), []string{"common", crashPart, fmt.Sprintf("bad-own-%d", n)})
 		})
-		time.Sleep(120 * time.Millisecond)
+		time.Sleep(caller.interval)
 	}
 	bad.Wait()
 	stop()
