quarantine: a part that was at nearly all ends of targets is tried one request at a time

Cause: targets that end at the same moment count once, since the loss of a rack looks the same. So the evidence came in with the second and third generation of ends only. The rule had to choose between blocking sound parts for minutes and waiting; nothing in between. Evidence: eight ends within 0.35 s, all with the part, one moment (trial with a line at each report). Change: a part that was at three ends and four of five since the first is blocked for trial at once. The leader grants one request at a time among all processes; the end of its target is another moment and leads to the block, an answer clears the part. Why it works: the cause is separated from chance by an experiment that costs one target, not by more ends. A sound part is refused for about a second. Trials that find no target go on; one whose request is queued holds the next for 2 s.

--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -97,6 +97,10 @@
 	version      control.LeaderVersion
 	suspects     []quarantine.Part
 	blocks       map[quarantine.Part]block
+	// askedAt is when a trial was last asked for, by the first part that is blocked for trial,
+	// and ownTrialAt when this process last allowed one itself.
+	askedAt    map[quarantine.Part]time.Time
+	ownTrialAt time.Time
 }
 
 // end is the end of a target that this process observed.
@@ -112,6 +116,7 @@
 type block struct {
 	with   []quarantine.Part
 	except []string
+	trial  bool
 	until  time.Time
 	// term is that of the leader that has the block.
 	term uint64
@@ -127,7 +132,7 @@
 	r := &Recorder{
 		Targets: t, Client: c, Clock: clock, Logger: logger,
 		Breaks: counter("ResponsesBroken"), Ended: counter("ResponsesBrokenByEnd"), Dropped: counter("ResponsesBrokenUnchecked"),
-		pending: make(chan Break, maxPendingBreaks), wake: make(chan struct{}, 1), blocks: map[quarantine.Part]block{},
+		pending: make(chan Break, maxPendingBreaks), wake: make(chan struct{}, 1), blocks: map[quarantine.Part]block{}, askedAt: map[quarantine.Part]time.Time{},
 	}
 	m.Set("PartsBlocked", expvar.Func(func() any {
 		r.mu.RLock()
@@ -189,25 +194,43 @@
 }
 
 // Blocked returns a part for which prompts with the given parts are kept from the targets of the
-// service, and how long that lasts, or false.
-func (r *Recorder) Blocked(service string, ids []string) (id string, left time.Duration, blocked bool) {
+// service, and when to try again, or false.
+func (r *Recorder) Blocked(service string, ids []string) (id string, retryAfter time.Duration, blocked bool) {
+	part, left, trials := r.matchBlocks(service, ids)
+	switch {
+	case left > 0:
+		return part, left, true
+	case len(trials) > 0:
+		return trials[0].ID, trialRetryAfter, true
+	}
+	return "", 0, false
+}
+
+// matchBlocks returns the part of a block that applies to prompts with the given parts at targets
+// of the service, and how long it lasts; or else the parts of the blocks for trial that do.
+func (r *Recorder) matchBlocks(service string, ids []string) (id string, left time.Duration, trials []quarantine.Part) {
 	if r == nil || len(ids) == 0 {
-		return "", 0, false
+		return "", 0, nil
 	}
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if len(r.blocks) == 0 {
-		return "", 0, false
+		return "", 0, nil
 	}
 	now := r.Clock.Now()
 	for p, b := range r.blocks {
 		left := b.until.Sub(now)
-		if left > 0 && slices.Contains(ids, p.ID) && !slices.Contains(b.except, service) &&
-			!slices.ContainsFunc(b.with, func(w quarantine.Part) bool { return !slices.Contains(ids, w.ID) }) {
-			return p.ID, left, true
+		if left <= 0 || !slices.Contains(ids, p.ID) || slices.Contains(b.except, service) ||
+			slices.ContainsFunc(b.with, func(w quarantine.Part) bool { return !slices.Contains(ids, w.ID) }) {
+			continue
+		}
+		if !b.trial {
+			return p.ID, left, nil
 		}
+		trials = append(trials, p)
 	}
-	return "", 0, false
+	slices.SortFunc(trials, quarantine.CompareParts)
+	return "", 0, trials
 }
 
 // Run checks the targets of recorded breaks and reports to the control hosts until ctx ends.
--- a/internal/controller/crashes/report.go
+++ b/internal/controller/crashes/report.go
@@ -63,11 +63,12 @@
 	before := maps.Clone(r.blocks)
 	maps.DeleteFunc(r.blocks, func(_ quarantine.Part, b block) bool { return b.term >= q.Version.Term || !now.Before(b.until) })
 	for _, b := range q.Blocks {
-		r.blocks[b.Part] = block{with: b.With, except: b.Except, until: at.Add(b.Left), term: q.Version.Term}
+		r.blocks[b.Part] = block{with: b.With, except: b.Except, trial: b.Trial, until: at.Add(b.Left), term: q.Version.Term}
 	}
-	for p := range r.blocks {
-		if _, ok := before[p]; !ok {
-			r.logPart(p, "part of prompts blocked")
+	maps.DeleteFunc(r.askedAt, func(p quarantine.Part, _ time.Time) bool { return !r.blocks[p].trial })
+	for p, b := range r.blocks {
+		if x, ok := before[p]; !ok || x.trial != b.trial {
+			r.logPart(p, blockText(b))
 		}
 	}
 	for p := range before {
@@ -78,6 +79,14 @@
 	r.signal()
 }
 
+// blockText returns the text of the log line about a new block.
+func blockText(b block) string {
+	if b.trial {
+		return "part of prompts blocked for trial"
+	}
+	return "part of prompts blocked"
+}
+
 // logPart logs a change of a block.
 func (r *Recorder) logPart(p quarantine.Part, text string) {
 	r.Logger.WithFields(log.Fields{"service": p.Service, "part": p.ID}).Info(text)
@@ -154,7 +163,7 @@
 	for p, b := range r.blocks {
 		wanted = append(wanted, p)
 		if left := b.until.Sub(now); b.term < r.version.Term && left > 0 {
-			in.Report.Blocks = append(in.Report.Blocks, quarantine.Block{Part: p, With: b.with, Except: b.except, Left: left})
+			in.Report.Blocks = append(in.Report.Blocks, quarantine.Block{Part: p, With: b.with, Except: b.except, Trial: b.trial, Left: left})
 		}
 	}
 	seen := map[string]bool{}
--- a/internal/controller/crashes/report_test.go
+++ b/internal/controller/crashes/report_test.go
@@ -32,7 +32,7 @@
 	mux := wire.NewMux()
 	wire.Unary(mux, control.MethodCrashes, wire.Daemons, func(_ context.Context, in *control.Crashes) (*control.CrashesReply, error) {
 		received <- in.Report
-		return &control.CrashesReply{Term: term.Load(), Released: quarantine.Parts("lm", released)}, nil
+		return &control.CrashesReply{Term: term.Load(), Released: quarantine.Parts("lm", released), TrialGranted: len(in.Trial) > 0}, nil
 	})
 	go func() { _ = mux.Serve(ctx, l) }()
 	clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.New()}
@@ -131,6 +131,41 @@
 	}
 }
 
+// TestTrials guards against a prompt that is blocked for trial and never tried, and against trials
+// of prompts that are blocked otherwise.
+func TestTrials(t *testing.T) {
+	reachable := func(r *Recorder) {}
+	unreachable := func(r *Recorder) {
+		r.Client = &control.Client{Wire: wire.NewClient(nil), Hosts: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Clock: r.Clock}
+	}
+	tests := []struct {
+		name    string
+		parts   []string
+		leader  func(r *Recorder)
+		blocked bool
+		trial   bool
+	}{
+		{"other prompt", []string{"c"}, reachable, false, false},
+		{"blocked for trial", []string{"a", "c"}, reachable, true, true},
+		{"blocked for trial, no leader", []string{"a", "c"}, unreachable, true, true},
+		{"blocked, and for trial", []string{"a", "b"}, reachable, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var term atomic.Uint64
+			r, _ := newTestRecorder(t, &term, nil)
+			test.leader(r)
+			r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{
+				{Part: quarantine.Part{Service: "lm", ID: "a"}, Trial: true, Left: time.Minute}, {Part: quarantine.Part{Service: "lm", ID: "b"}, Left: time.Minute},
+			}}, r.Clock.Now())
+			_, _, blocked := r.Blocked("lm", test.parts)
+			qt.Assert(t, blocked, qt.Equals, test.blocked)
+			qt.Assert(t, r.RequestTrial(context.Background(), "lm", test.parts), qt.Equals, test.trial)
+			qt.Assert(t, r.RequestTrial(context.Background(), "lm", test.parts), qt.IsFalse, qt.Commentf("asked again at once"))
+		})
+	}
+}
+
 // TestReleasedByNewLeader guards against a block that outlives an answer which only the new
 // leader knows of.
 func TestReleasedByNewLeader(t *testing.T) {
--- /dev/null
+++ b/internal/controller/crashes/trial.go
@@ -0,0 +1,62 @@
+package crashes
+
+import (
+	"context"
+	"time"
+
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+)
+
+const (
+	// trialRetryAfter is the Retry-After of requests that are blocked for trial: by then two
+	// trials have shown whether targets end when they answer the part.
+	trialRetryAfter = 2 * quarantine.TrialInterval
+	// trialAskInterval is how often one process asks for a trial of a part.
+	trialAskInterval = 250 * time.Millisecond
+	// trialAskTimeout bounds the time for which a request waits for the reply.
+	trialAskTimeout = 200 * time.Millisecond
+	// ownTrialInterval is how often a process allows a trial itself while no control host
+	// replies.
+	ownTrialInterval = 5 * time.Second
+)
+
+// RequestTrial reports whether a request may be sent although its prompt is blocked, as a trial. It
+// asks the leader of the fleet group, which allows one at a time among all processes.
+func (r *Recorder) RequestTrial(ctx context.Context, service string, ids []string) bool {
+	_, left, trials := r.matchBlocks(service, ids)
+	if left > 0 || len(trials) == 0 || !r.mayAsk(trials[0]) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialAskTimeout)
+	defer cancel()
+	reply, err := r.Client.Crashes(ctx, &control.Crashes{Trial: trials})
+	if err != nil {
+		return r.allowOwnTrial()
+	}
+	return reply.TrialGranted
+}
+
+// mayAsk reports whether the last request for a trial of the part is long enough ago for another.
+func (r *Recorder) mayAsk(part quarantine.Part) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if at, ok := r.askedAt[part]; ok && now.Sub(at) < trialAskInterval {
+		return false
+	}
+	r.askedAt[part] = now
+	return true
+}
+
+// allowOwnTrial reports whether this process may send a request as a trial without the leader.
+func (r *Recorder) allowOwnTrial() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if !r.ownTrialAt.IsZero() && now.Sub(r.ownTrialAt) < ownTrialInterval {
+		return false
+	}
+	r.ownTrialAt = now
+	return true
+}
--- a/internal/http/ingress/exchange.go
+++ b/internal/http/ingress/exchange.go
@@ -31,6 +31,9 @@
 	// Workspace and KeyDigest are set by keyFilter. They are empty if no key is needed.
 	Workspace string
 	KeyDigest string
+	// trial is set by quarantineFilter for a request that is sent although its prompt is blocked
+	// for trial.
+	trial bool
 
 	// stopWatch ends the watch on the caller's connection.
 	stopWatch func()
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -181,17 +181,22 @@
 // Handle implements Filter.
 func (f *quarantineFilter) Handle(x *Exchange, next Handler) error {
 	var blocked *rhubarbgate.Error
+	service := ""
 	for _, share := range x.Route.Split {
 		if share.Weight <= 0 {
 			continue
 		}
-		if blocked = f.server.checkBlocked(x, share.Service); blocked == nil {
+		service = share.Service
+		if blocked = f.server.checkBlocked(x, service); blocked == nil {
 			return next(x)
 		}
 	}
 	if blocked != nil {
-		f.server.Counts.Quarantined.Add(1)
-		return blocked
+		x.trial = f.server.Crashes.RequestTrial(x.Context, service, x.Call.SharedParts())
+		if !x.trial {
+			f.server.Counts.Quarantined.Add(1)
+			return blocked
+		}
 	}
 	return next(x)
 }
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -112,7 +112,7 @@
 // from the retry budget unless the request did not run.
 func (s *Server) shouldRetry(q *forwardedRequest, last *rhubarbgate.Error) bool {
 	x := q.x
-	if !s.Clock.Now().Before(x.Deadline) || x.Context.Err() != nil || last.Code == rhubarbgate.CodeOverloaded || s.checkBlocked(x, q.service) != nil {
+	if !s.Clock.Now().Before(x.Deadline) || x.Context.Err() != nil || last.Code == rhubarbgate.CodeOverloaded || q.checkBlocked() != nil {
 		return false
 	}
 	switch {
@@ -184,7 +184,7 @@
 	if err := s.confirmKey(x); n > 1 && err != nil {
 		return nil, err
 	}
-	if err := s.checkBlocked(x, q.service); err != nil {
+	if err := q.checkBlocked(); err != nil {
 		return nil, err
 	}
 	now := s.Clock.Now()
@@ -233,6 +233,15 @@
 	return a, a.checkHead()
 }
 
+// checkBlocked returns an error if the request's prompt is blocked. A trial goes on until a target
+// may have run it.
+func (q *forwardedRequest) checkBlocked() *rhubarbgate.Error {
+	if q.x.trial && q.possibleRuns == 0 {
+		return nil
+	}
+	return q.server.checkBlocked(q.x, q.service)
+}
+
 // choose returns the target for the next attempt and takes a token of its limit, if it states one.
 // Targets whose limit leaves no token to this entry are not chosen.
 func (q *forwardedRequest) choose(list []*discovery.Target, candidates []rhubarbgate.Candidate) (*discovery.Target, *rhubarbgate.Error) {
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -58,8 +58,8 @@
 	return r
 }
 
-// compareParts orders parts.
-func compareParts(a, b Part) int {
+// CompareParts orders parts.
+func CompareParts(a, b Part) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 }
 
@@ -88,6 +88,8 @@
 	With []Part `msgpack:",omitempty"`
 	// Except are the other services whose targets have answered the part.
 	Except []string `msgpack:",omitempty"`
+	// Trial says that one request now and then may be sent, see Table.GrantTrial.
+	Trial bool `msgpack:",omitempty"`
 	// Left is how long the block lasts.
 	Left time.Duration
 }
@@ -128,6 +130,7 @@
 	answers      map[Part]time.Time
 	newestAnswer time.Time
 	suspected    map[Part]time.Time // since when
+	trials       map[Part]time.Time // when the newest trial of a suspect was granted
 	adopted      map[Part]adoptedBlock
 }
 
@@ -137,7 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.answers == nil {
-		t.answers, t.suspected, t.adopted = map[Part]time.Time{}, map[Part]time.Time{}, map[Part]adoptedBlock{}
+		t.answers, t.suspected, t.trials, t.adopted = map[Part]time.Time{}, map[Part]time.Time{}, map[Part]time.Time{}, map[Part]adoptedBlock{}
 	}
 	now := t.Clock.Now()
 	for _, c := range r.Crashes {
@@ -152,7 +155,8 @@
 		t.newestAnswer = at
 	}
 	for _, b := range r.Blocks {
-		if _, ok := t.adopted[b.Part]; !ok {
+		// A block for trial follows from the ends of targets, which are reported too.
+		if _, ok := t.adopted[b.Part]; !ok && !b.Trial {
 			t.adopted[b.Part] = adoptedBlock{with: b.With, except: b.Except, since: now, until: now.Add(b.Left)}
 		}
 	}
@@ -197,12 +201,15 @@
 		ids[p.ID] = true
 	}
 	maps.DeleteFunc(t.answers, func(p Part, _ time.Time) bool { return !ids[p.ID] })
-	maps.DeleteFunc(t.suspected, func(p Part, _ time.Time) bool { return crashes[p] < minMoments || !t.isSuspect(p) })
+	maps.DeleteFunc(t.suspected, func(p Part, _ time.Time) bool {
+		return crashes[p] < min(minMoments, minTrialEnds) || !t.isSuspect(p) && !t.isOnTrial(p, now)
+	})
 	for p, n := range crashes {
-		if n >= minMoments && t.suspected[p].IsZero() && t.isSuspect(p) {
+		if n >= min(minMoments, minTrialEnds) && t.suspected[p].IsZero() && (t.isSuspect(p) || t.isOnTrial(p, now)) {
 			t.suspected[p] = now
 		}
 	}
+	maps.DeleteFunc(t.trials, func(p Part, _ time.Time) bool { return t.suspected[p].IsZero() })
 }
 
 // counted returns the ends of targets that count against a part: it was present, and was not
@@ -265,10 +272,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.update(t.Clock.Now())
-	return slices.SortedFunc(maps.Keys(t.suspected), compareParts)
+	return slices.SortedFunc(maps.Keys(t.suspected), CompareParts)
 }
 
-// Blocks returns the blocks in force, ordered by part.
+// Blocks returns the blocks in force, those for trial among them, ordered by part.
 func (t *Table) Blocks() []Block {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -277,8 +284,15 @@
 	var r []Block
 	for p, since := range t.suspected {
 		c := t.counted(p)
-		if until := newest(c).Add(blockTime); now.Sub(since) >= objectionPeriod && now.Before(until) {
-			r = append(r, Block{Part: p, With: t.presentAtAll(c, p), Except: t.answeredElsewhere(p), Left: until.Sub(now)})
+		b := Block{Part: p, With: t.presentAtAll(c, p), Except: t.answeredElsewhere(p), Left: newest(c).Add(blockTime).Sub(now)}
+		if now.Sub(since) < objectionPeriod || !t.isSuspect(p) {
+			if _, ok := t.adopted[p]; ok || !t.isOnTrial(p, now) {
+				continue
+			}
+			b.Trial, b.Left = true, newest(c).Add(trialTime).Sub(now)
+		}
+		if b.Left > 0 {
+			r = append(r, b)
 		}
 	}
 	for p, b := range t.adopted {
@@ -286,7 +300,7 @@
 			r = append(r, Block{Part: p, With: b.with, Except: b.except, Left: b.until.Sub(now)})
 		}
 	}
-	slices.SortFunc(r, func(a, b Block) int { return compareParts(a.Part, b.Part) })
+	slices.SortFunc(r, func(a, b Block) int { return CompareParts(a.Part, b.Part) })
 	return r
 }
 
@@ -312,7 +326,7 @@
 			r = append(r, p)
 		}
 	}
-	slices.SortFunc(r, compareParts)
+	slices.SortFunc(r, CompareParts)
 	return r
 }
 
--- a/internal/role/replica/quarantine.go
+++ b/internal/role/replica/quarantine.go
@@ -59,7 +59,7 @@
 // sameBlock reports whether a block was neither narrowed, widened nor renewed since it was
 // published. Renewals that add less than a second do not count.
 func sameBlock(a, published quarantine.Block) bool {
-	return a.Part == published.Part && slices.Equal(a.With, published.With) && slices.Equal(a.Except, published.Except) && a.Left <= published.Left+time.Second
+	return a.Part == published.Part && a.Trial == published.Trial && slices.Equal(a.With, published.With) && slices.Equal(a.Except, published.Except) && a.Left <= published.Left+time.Second
 }
 
 // logQuarantine logs what differs from the published quarantine. The lock is held.
@@ -71,8 +71,8 @@
 		}
 	}
 	for _, b := range blocks {
-		if !slices.ContainsFunc(last.Blocks, func(x quarantine.Block) bool { return x.Part == b.Part }) {
-			h.Logger.WithFields(log.Fields{"service": b.Part.Service, "part": b.Part.ID, "with": b.With, "except": b.Except, "left": b.Left.String()}).Warn("part of prompts blocked")
+		if !slices.ContainsFunc(last.Blocks, func(x quarantine.Block) bool { return x.Part == b.Part && x.Trial == b.Trial }) {
+			h.Logger.WithFields(log.Fields{"service": b.Part.Service, "part": b.Part.ID, "with": b.With, "except": b.Except, "trial": b.Trial, "left": b.Left.String()}).Warn("part of prompts blocked")
 		}
 	}
 	for _, b := range last.Blocks {
@@ -91,5 +91,9 @@
 	}
 	released := table.Add(&in.Report)
 	h.updateQuarantine()
-	return &control.CrashesReply{Term: term, Released: released}, nil
+	granted := len(in.Trial) > 0 && table.GrantTrial(in.Trial)
+	if granted {
+		h.Logger.WithField("parts", in.Trial).Info("trial of a part of prompts granted")
+	}
+	return &control.CrashesReply{Term: term, Released: released, TrialGranted: granted}, nil
 }
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -96,8 +96,8 @@
 		return rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "item: %v", err)
 	}
 	parts := w.sharedParts(&item)
-	if part, _, blocked := h.crashes.Blocked(i.Service, parts); blocked {
-		t.returnDelay = blockedItemDelay
+	if part, retryAfter, blocked := h.crashes.Blocked(i.Service, parts); blocked && !h.crashes.RequestTrial(ctx, i.Service, parts) {
+		t.returnDelay = min(blockedItemDelay, retryAfter)
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "targets of service %q end when they answer prompts with the part %s", i.Service, part)
 	}
 	q := &target.Request{Method: http.MethodPost, Host: route.Path.Host, Path: item.Path, Body: item.Body, Idempotent: true}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -144,7 +144,11 @@
 }
 
 // Crashes reports to the leader of the fleet group which targets ended with which prompts.
-type Crashes struct{ Report quarantine.Report }
+type Crashes struct {
+	Report quarantine.Report
+	// Trial asks for a trial with a prompt that has these parts, which are blocked for trial.
+	Trial []quarantine.Part `msgpack:",omitempty"`
+}
 
 // CrashesReply is the reply to Crashes.
 type CrashesReply struct {
@@ -153,6 +157,8 @@
 	Term uint64
 	// Released are parts of reported blocks that were answered since.
 	Released []quarantine.Part
+	// TrialGranted says that one request with the parts in Trial may be sent.
+	TrialGranted bool `msgpack:",omitempty"`
 }
 
 // TargetList is the platform's list of targets as a control host last read it.
