soak: requests that crash targets come at random times, at a rate of their own in each run

The soak sent one every 150 ms and had targets back within 2 s, so that it could not find targets that all end at the same moment (TestPromptPartThatCrashesAllTargetsAtOnce). Change: mean intervals of 30 to 330 ms, arrivals at random, downtimes up to 3.5 s, crashes 50 ms after a request starts. The checks are the same.

--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -52,12 +52,15 @@
 func (s *Soak) sendCrashingRequests(ctx context.Context, random *rand.Rand) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	for n, wait := 0, s.Duration/crashStartDivisor; ; n, wait = n+1, crashInterval {
+	interval := minCrashInterval + time.Duration(random.Int64N(int64(randomCrashInterval)))
+	wait := s.Duration / crashStartDivisor
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.Clock.After(wait):
 		}
+		wait = time.Duration(random.ExpFloat64() * float64(interval))
 		entry, route := s.chooseEntry(random), []string{"stream", "resume"}[random.IntN(2)]
 		id := fmt.Sprintf("crash-%d", n)
 		parts := []string{fmt.Sprintf("common-%d", random.IntN(commonParts)), crashPart, id}
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -41,15 +41,18 @@
 	balancerLag = 800 * time.Millisecond
 	// callerTimeout is how long callers wait for a response.
 	callerTimeout = 4 * time.Second
-	// crashPart is the part of a prompt that crashes targets, and crashInterval the time
-	// between requests with it, which start after a crashStartDivisor-th of the run.
-	crashPart         = "crash"
-	crashInterval     = 150 * time.Millisecond
-	crashStartDivisor = 4
-	minDowntime       = 500 * time.Millisecond
-	randomDowntime    = 1500 * time.Millisecond
-	commonParts       = 3
-	subjectParts      = 20
+	// crashPart is the part of a prompt that crashes targets, after crashDelay. The mean time
+	// between requests with it is drawn for each run; they start after a crashStartDivisor-th
+	// of the run.
+	crashPart           = "crash"
+	crashDelay          = 50 * time.Millisecond
+	minCrashInterval    = 30 * time.Millisecond
+	randomCrashInterval = 300 * time.Millisecond
+	crashStartDivisor   = 4
+	minDowntime         = 500 * time.Millisecond
+	randomDowntime      = 3 * time.Second
+	commonParts         = 3
+	subjectParts        = 20
 	// targetLimit is the rate that a target states while it has a limit.
 	targetLimit = 4.0
 	// defaultInjectors is the default of Soak.Injectors.
