quarantine: the ends of busy targets keep all parts of their prompts

A target that ends with a full queue has tens of requests with several shared parts each, but its end kept the first 64 parts that were reported. The part that ends targets could be missing, so that requests with it went on reaching targets. Evidence: the case "busy targets with many parts" of TestBlocks (96 parts of 32 requests, then the bad one) failed before and passes. Change: 512 parts an end. With 256 ends that is a few megabytes at the leader at most; TestTableIsBounded holds.

--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -40,9 +40,10 @@
 	// target may keep its name when it restarts, but it takes longer.
 	SameCrashPeriod = time.Second
 	// maxCrashes and maxCrashParts bound the memory for ends of targets and for the parts of
-	// each; the oldest ends and further parts are dropped.
+	// each; the oldest ends and further parts are dropped. A target has tens of requests,
+	// running and queued, with a few parts each.
 	maxCrashes    = 256
-	maxCrashParts = 64
+	maxCrashParts = 512
 )
 
 // Part is a part of prompts at the targets of one service. Another service may run other engines,
--- a/internal/policy/quarantine/table_test.go
+++ b/internal/policy/quarantine/table_test.go
@@ -41,6 +41,15 @@
 	return r
 }
 
+// manyParts returns parts of the prompts that a busy target has: those of 32 requests with three each.
+func manyParts(prefix string) []string {
+	var parts []string
+	for i := range 96 {
+		parts = append(parts, fmt.Sprint(prefix, i))
+	}
+	return parts
+}
+
 // TestBlocks guards against parts that end one target after the other and are never blocked, and
 // against blocking a part because targets end for another reason.
 func TestBlocks(t *testing.T) {
@@ -56,6 +65,9 @@
 		trials []string // parts that are blocked for trial
 	}{
 		{"three targets, others answer", append(threeEnds, others), 1200 * ms, map[string][]string{"bad": nil}, nil, nil},
+		{"busy targets with many parts", []event{
+			{0, ended("t1", append(manyParts("x"), "bad")...)}, {200 * ms, ended("t2", append(manyParts("y"), "bad")...)}, {400 * ms, ended("t3", append(manyParts("z"), "bad")...)}, {600 * ms, answered("a")},
+		}, 1500 * ms, map[string][]string{"bad": nil}, nil, nil},
 		{"before the objection period ends", append(threeEnds, others), 900 * ms, nil, nil, []string{"bad"}},
 		{"two targets", append(threeEnds[:2:2], others), 3 * second, nil, nil, nil},
 		{"answered meanwhile", append(threeEnds, event{400 * ms, answered("bad")}), 3 * second, nil, nil, nil},
