target limits: a limit that the target lowers holds at once

A target that states less than before got its earlier rate, and the tokens kept for it, until the next claims and the next list, more than a second: from 40 requests a second to 1 that is tens of requests too many. Cause: a process uses the share that the control hosts list, whatever newer responses state. Change: while a response of the last 3 s states less than what was divided, the share and the tokens kept shrink in proportion. Result: the case "share of a limit that the target lowers" of TestRequestsWithinShare failed before and passes.

--- a/internal/controller/targetlimits/keeper.go
+++ b/internal/controller/targetlimits/keeper.go
@@ -148,10 +148,14 @@
 
 // rate returns the rate at which this process may send to a limited target. The lock is held.
 func (k *Keeper) rate(x *limited) float64 {
-	if k.isListed(x) {
-		return x.share
+	if !k.isListed(x) {
+		return x.stated.PerSecond * apportion.InterimShare
 	}
-	return x.stated.PerSecond * apportion.InterimShare
+	// The target may have lowered its limit since it was divided.
+	if x.stated.Limited && x.stated.PerSecond < x.perSecond && k.Clock.Since(x.statedAt) < observationTTL {
+		return x.share * x.stated.PerSecond / x.perSecond
+	}
+	return x.share
 }
 
 // refill adds the tokens since the last call. The lock is held.
--- a/internal/controller/targetlimits/keeper_test.go
+++ b/internal/controller/targetlimits/keeper_test.go
@@ -50,6 +50,11 @@
 		{"no limit", func(*Keeper, *discovery.Target, *clockwork.FakeClock) {}, 400, 400},
 		{"own share", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, 2)) }, 7, 9},
 		{"large share", func(k *Keeper, x *discovery.Target, _ *clockwork.FakeClock) { k.Update(limits(x, 1, 1, 50)) }, 190, 250},
+		{"share of a limit that the target lowers", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 4))
+			clock.Advance(time.Minute)
+			k.Observe(x, 1, true)
+		}, 1, 6},
 		{"share of others after own use", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
 			k.Update(limits(x, 1, 1, 2))
 			clock.Advance(time.Minute)
