--- a/internal/policy/quarantine/trial.go
+++ b/internal/policy/quarantine/trial.go
@@ -18,8 +18,8 @@
 	maxOtherEnds = 0.2
 )
 
-// isOnTrial reports whether nearly all targets that ended lately had the part. They may have ended
-// at the same moment, which can have a cause outside the requests, so that it takes further
+// isOnTrial reports whether nearly all targets that ended within trialTime had the part. They may
+// have ended at the same moment, which can have a cause outside the requests, so that it takes further
 // requests with the part to tell. The lock is held.
 func (t *Table) isOnTrial(part Part, now time.Time) bool {
 	with := 0
