soak: a batch item that crashes targets, failing

Online requests are sent again by their callers, batch items by the fleet itself: sides return them, others lease them. Blocks look at parts of prompts that requests share, so an item whose own content crashes targets is run until its retention ends.

--- a/cmd/rhubarbgate/soak_test.go
+++ b/cmd/rhubarbgate/soak_test.go
@@ -25,3 +25,10 @@
 		qt.Check(t, err, qt.IsNil, qt.Commentf("seed %s (%s): %s", x.seed, x.cause, out))
 	}
 }
+
+// TestItemThatCrashesTargets guards against running an item that crashes its target on one target
+// after the other until its retention ends.
+func TestItemThatCrashesTargets(t *testing.T) {
+	out, err := exec.Command(binary, "soak", "--seed", "9900", "--duration", "12s", "--crashing-item", "--dir", t.TempDir()).CombinedOutput()
+	qt.Check(t, err, qt.IsNil, qt.Commentf("%s", out))
+}
--- a/internal/command/rhubarbgate/soak.go
+++ b/internal/command/rhubarbgate/soak.go
@@ -18,6 +18,7 @@
 	var seeds int
 	var duration time.Duration
 	var size, injectors int
+	var crashingItem bool
 	var dir string
 	c := &cobra.Command{
 		Use:   "soak",
@@ -29,6 +30,7 @@
 	f.IntVar(&seeds, "seeds", 1, "number of consecutive seeds to run, one after another")
 	f.DurationVar(&duration, "duration", 20*time.Second, "how long faults are injected, per seed")
 	f.IntVar(&size, "size", 1, "multiplies the numbers of entries, targets with their sides, and callers")
+	f.BoolVar(&crashingItem, "crashing-item", false, "a batch item crashes targets, in place of requests with one part in their prompts")
 	f.IntVar(&injectors, "injectors", 0, "series of faults injected at the same time; 0 means 2")
 	f.StringVar(&dir, "dir", "", "folder for data and logs; empty means a temporary one; each seed's subfolder is removed if its checks pass, and if all checks pass, the whole folder is removed with everything in it")
 	c.RunE = func(c *cobra.Command, _ []string) error {
@@ -47,7 +49,7 @@
 			if err := os.MkdirAll(sub, 0o700); err != nil {
 				return errors.Trace(err)
 			}
-			s := &fleet.Soak{Binary: binary, Dir: sub, Seed: seed + i, Duration: duration, Size: size, Injectors: injectors, Clock: clockwork.NewRealClock(), Logger: newLogger(os.Stderr, "soak")}
+			s := &fleet.Soak{Binary: binary, Dir: sub, Seed: seed + i, Duration: duration, Size: size, Injectors: injectors, CrashingItem: crashingItem, Clock: clockwork.NewRealClock(), Logger: newLogger(os.Stderr, "soak")}
 			r, err := s.Run(c.Context())
 			if err != nil {
 				return errors.Annotatef(err, "logs in %s", sub)
--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// submitCrashingItem submits a job with an item that crashes targets.
+func (s *Soak) submitCrashingItem(ctx context.Context) {
+	j := &job{id: "crash-job", workspace: "one", key: "key-one-a", items: []string{crashItem}, endless: true}
+	s.recordJob(j)
+	for n := 0; ctx.Err() == nil && !s.submit(ctx, j, n%len(s.entries)); n++ {
+	}
+}
+
 // recordJob adds a job to the history.
 func (s *Soak) recordJob(j *job) {
 	s.history.mu.Lock()
@@ -185,7 +193,7 @@
 	defer s.history.mu.Unlock()
 	n := 0
 	for _, j := range s.history.jobs {
-		if j.accepted && len(j.listed) < len(j.items) {
+		if j.accepted && !j.endless && len(j.listed) < len(j.items) {
 			n++
 		}
 	}
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -31,10 +31,12 @@
 type job struct {
 	id, workspace, key string
 	items              []string
-	accepted           bool
-	outcomeUnknown     bool // the outcome of some attempt to submit it is unknown
-	refused            bool // every attempt was refused with a status which guarantees that nothing ran
-	listed             []platformtest.Result
+	// endless says that no target can finish the items.
+	endless        bool
+	accepted       bool
+	outcomeUnknown bool // the outcome of some attempt to submit it is unknown
+	refused        bool // every attempt was refused with a status which guarantees that nothing ran
+	listed         []platformtest.Result
 }
 
 // history records the requests and jobs of a run, and the violated guarantees.
@@ -152,7 +154,7 @@
 		}
 		delete(runs, id)
 	}
-	if j.accepted && len(j.listed) != len(j.items) {
+	if j.accepted && !j.endless && len(j.listed) != len(j.items) {
 		h.addViolation("job %s: %d of %d items are listed at the end", j.id, len(j.listed), len(j.items))
 	}
 }
@@ -183,7 +185,10 @@
 	}
 	for _, t := range s.targets {
 		for _, r := range t.CrashingRuns() {
-			watched := append([]*process{entries[r.ID]}, s.controlHosts...)
+			watched := slices.Clone(s.controlHosts)
+			if e := entries[r.ID]; e != nil {
+				watched = append(watched, e)
+			}
 			if r.At.After(noticed) && !s.disturbed(watched, r.At.Add(-noticeTime), r.At) {
 				late++
 			}
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -55,6 +55,8 @@
 	subjectParts        = 20
 	// targetLimit is the rate that a target states while it has a limit.
 	targetLimit = 4.0
+	// crashItem is the item that crashes targets if Soak.CrashingItem is set.
+	crashItem = "crash-item"
 	// defaultInjectors is the default of Soak.Injectors.
 	defaultInjectors = 2
 )
@@ -72,8 +74,10 @@
 	Size int
 	// Injectors is how many series of faults are injected at the same time; 0 means 2.
 	Injectors int
-	Clock     clockwork.Clock
-	Logger    log.Interface
+	// CrashingItem replaces the requests whose prompts crash targets by one batch item that does.
+	CrashingItem bool
+	Clock        clockwork.Clock
+	Logger       log.Interface
 
 	client       *platformtest.Client
 	history      history
@@ -138,7 +142,11 @@
 	jobs := rand.New(rand.NewPCG(s.Seed, 99))
 	tasks.Go(func() { s.submitJobs(loadCtx, jobs) })
 	crashing := rand.New(rand.NewPCG(s.Seed, 98))
-	tasks.Go(func() { s.sendCrashingRequests(loadCtx, crashing) })
+	if s.CrashingItem {
+		tasks.Go(func() { s.submitCrashingItem(loadCtx) })
+	} else {
+		tasks.Go(func() { s.sendCrashingRequests(loadCtx, crashing) })
+	}
 	s.injectFaults(ctx)
 	stopLoad()
 	tasks.Wait()
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -61,7 +61,7 @@
 	t := &platformtest.Target{
 		Instance: fmt.Sprintf("i-%d", len(s.targets)), Service: platformtest.TargetService, Zone: availabilityZone(i), Slots: 8,
 		Events: streamEvents, Pace: eventInterval, PlainPrefixes: []string{"/safe/", "/unsafe/"},
-		CrashPart: crashPart, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
+		CrashPart: crashPart, CrashItem: crashItem, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
 	}
 	// The target calls Fault while it holds its lock, so random needs no lock of its own.
 	t.Fault = func(id string, attempt int) platformtest.Fault {
