quarantine: a new leader grants no trials of parts that it does not know

After a change of the leader, processes keep blocks for trial of the last one until the new one has them. Its table was empty, and a part that it did not suspect was taken as cleared: every request for a trial was granted, four a second from each process, until the ends of targets had been reported again. Many targets could end in that time. Change: only suspected parts are granted trials. A cleared one is released with the next report or poll. Result: TestGrantTrial failed with its new expectation before and passes; it stood the other way since, which was wrong.

--- a/internal/policy/quarantine/table_test.go
+++ b/internal/policy/quarantine/table_test.go
@@ -171,7 +171,7 @@
 	qt.Assert(t, table.GrantTrial(parts), qt.IsTrue)
 	clock.Advance(TrialInterval)
 	qt.Assert(t, table.GrantTrial(parts), qt.IsFalse, qt.Commentf("the first has no outcome yet"))
-	qt.Assert(t, table.GrantTrial(Parts("lm", []string{"b"})), qt.IsTrue)
+	qt.Assert(t, table.GrantTrial(Parts("lm", []string{"b"})), qt.IsFalse, qt.Commentf("another leader may have blocked it, whose daemons have not reported yet"))
 	clock.Advance(trialOutcomeTime - TrialInterval)
 	qt.Assert(t, table.GrantTrial(parts), qt.IsTrue)
 	r := ended("4", "a")
--- a/internal/policy/quarantine/trial.go
+++ b/internal/policy/quarantine/trial.go
@@ -55,13 +55,19 @@
 }
 
 // GrantTrial reports whether a request may be sent whose prompt is only blocked for trial, because
-// of the given parts.
+// of the given parts. A Table that suspects none of them grants none: the part was cleared, of which
+// the process learns shortly, or was blocked by an earlier Table.
 func (t *Table) GrantTrial(parts []Part) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	t.update(now)
+	var suspects []Part
 	for _, p := range parts {
+		if _, ok := t.suspected[p]; !ok {
+			continue
+		}
+		suspects = append(suspects, p)
 		at, ok := t.trials[p]
 		if !ok {
 			continue
@@ -74,10 +80,8 @@
 			return false
 		}
 	}
-	for _, p := range parts {
-		if _, ok := t.suspected[p]; ok {
-			t.trials[p] = now
-		}
+	for _, p := range suspects {
+		t.trials[p] = now
 	}
-	return true
+	return len(suspects) > 0
 }
