ingress, side: log whose response a refusal is

The incident's hypotheses differ in what the entry took for a refusal: a response of another request on a kept connection, the request's own with a status that promises more than the target stated, or a failure before anything was sent. The log named only the status. Lines about refused and repeated requests now have the target, the status, the ID that the response answers and the number of requests that its connection carried before; two counters show both kinds without reading logs. No decision changes.

--- a/dialect.go
+++ b/dialect.go
@@ -62,6 +62,9 @@
 	Instance string
 	// NotRun is the target's promise that it did not and will not run the request.
 	NotRun bool
+	// ReadAsNotRun says that callers take the response's status for that promise, whether or
+	// not the target gives it.
+	ReadAsNotRun bool
 	// Leaving is the target's announcement that it is about to stop.
 	Leaving bool
 	// Limit is the rate of requests a second that the target takes from all processes
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
@@ -300,6 +301,16 @@
 	if a.head.HasLoad {
 		s.Targets.RecordLoad(a.target, a.head.Load)
 	}
+	otherRequest := a.head.RequestID != a.x.Call.RequestID
+	if a.head.NotRun || otherRequest {
+		a.x.refusal = log.Fields{
+			"target": a.target.Instance.ID, "targetStatus": a.response.Status, "promised": a.head.NotRun, "answered": a.head.RequestID,
+			"earlierRequests": a.response.EarlierRequests,
+		}
+	}
+	if a.head.NotRun && otherRequest {
+		s.Counts.RefusalsOfOthers.Add(1)
+	}
 	switch {
 	case a.head.NotRun:
 		s.Counts.TargetRefusals.Add(1)
@@ -311,7 +322,7 @@
 			return notRun(rhubarbgate.CodeUnavailable, "target %s restarted as %s", a.target.Instance.ID, a.head.Instance)
 		}
 		return notRun(rhubarbgate.CodeUnavailable, "target %s refused with status %d", a.target.Instance.ID, status)
-	case a.head.RequestID != a.x.Call.RequestID:
+	case otherRequest:
 		s.Counts.MismatchedResponses.Add(1)
 		a.possibleRuns++
 		a.finish(true)
@@ -363,6 +374,11 @@
 		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.Ran, "target %s answered with status %d", a.target.Instance.ID, status)
 	}
 	a.copyHead()
+	if a.head.ReadAsNotRun {
+		a.server.Counts.UnstatedPromises.Add(1)
+		a.server.Logger.WithFields(a.x.fields(a.server.Clock.Now())).WithField("status", a.response.Status).
+			Info("callers take the status as a promise that the target did not give")
+	}
 	if len(body) > maxBufferedBytes {
 		a.progress.Event(a.server.Clock.Now())
 		a.x.HTTP.Response.SetBodyStream(&longBody{attempt: a, buffered: body, remaining: maxResponseBytes - len(body)}, -1)
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -97,12 +97,16 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	idleAt time.Time // when the last response was closed
+	// requests is the number of requests that were written to the connection.
+	requests int
 }
 
 // Response is a response whose body is still to be read. It must be closed.
 type Response struct {
 	Status  int
 	Headers []Header
+	// EarlierRequests is the number of requests that the connection carried before.
+	EarlierRequests int
 
 	client   *Client
 	conn     *conn
@@ -254,6 +258,7 @@
 		req.Header.Add(h.Name, h.Value)
 	}
 	req.SetBodyRaw(r.Body)
+	cn.requests++
 	if err := req.Write(cn.writer); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -280,7 +285,7 @@
 
 // response returns a Response for the head h, with a reader that fits the kind of body.
 func (cn *conn) response(h *fasthttp.ResponseHeader, noBody, acceptCloseDelimited bool) *Response {
-	resp := &Response{Status: h.StatusCode(), conn: cn, reusable: !h.ConnectionClose()}
+	resp := &Response{Status: h.StatusCode(), EarlierRequests: cn.requests - 1, conn: cn, reusable: !h.ConnectionClose()}
 	for k, v := range h.All() {
 		resp.Headers = append(resp.Headers, Header{Name: string(k), Value: string(v)})
 	}
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -200,7 +200,8 @@
 	case head.NotRun && w.host.Targets.Adopt(context.Background(), w.host.Targets.Target(i), head.Instance) != nil:
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target restarted as %s", head.Instance)
 	case head.NotRun:
-		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target refused with status %d", a.Status)
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target refused request %q with status %d, as request %d of its connection",
+			head.RequestID, a.Status, a.EarlierRequests+1)
 	case head.RequestID != id:
 		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target answered request %q", head.RequestID)
 	case a.Status == http.StatusOK:
