entry, side: tests of responses out of turn, one of them failing

A target writes a response to an earlier request, or to none, once more on a kept connection, ahead of the response to the next request or just after the one before. After another response out of turn the caller gets 502 instead of the response that follows.

--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -288,6 +288,64 @@
 	}
 }
 
+// TestResponseOutOfTurn guards against taking a response that belongs to an earlier request, or
+// to none, for the response to the request that its connection carries now: a refusal would be
+// passed on although the request runs, or would send it to a second target. The caller gets the
+// response that follows on the same connection.
+func TestResponseOutOfTurn(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: old\n\n\r\n0\r\n\r\n"
+	refusal := func(status int, promise bool) func(string) string {
+		return func(earlier string) string { return platformtest.Refusal(earlier, status, promise) }
+	}
+	tests := []struct {
+		name string
+		raw  func(earlier string) string
+	}{
+		{"refusal with status 503", refusal(503, true)},
+		{"refusal with status 429", refusal(429, true)},
+		{"refusal with status 408", refusal(408, true)},
+		{"refusal with status 421", refusal(421, false)},
+		{"status 503 without a promise", refusal(503, false)},
+		{"refusal without an ID", func(string) string { return platformtest.Refusal("", 503, true) }},
+		{"refusal twice", func(earlier string) string { return strings.Repeat(platformtest.Refusal(earlier, 503, true), 2) }},
+		{"failure", refusal(500, false)},
+		{"complete response", func(earlier string) string { return fmt.Sprintf(stream, earlier) }},
+	}
+	for _, test := range tests {
+		for _, after := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, after=%v", test.name, after), func(t *testing.T) {
+				var targets []*platformtest.Target
+				for range 2 {
+					targets = append(targets, &platformtest.Target{Events: 3, PlainPrefixes: []string{"/safe/", "/unsafe/"}, Pace: time.Millisecond, Stray: func(id, earlier string) platformtest.Stray {
+						if after {
+							earlier = id
+						}
+						if earlier == "" {
+							return platformtest.Stray{}
+						}
+						return platformtest.Stray{Raw: test.raw(earlier), After: after}
+					}})
+				}
+				e := newEntry(t, targets...)
+				for _, route := range []string{"unsafe", "stream", "safe", "resume"} {
+					for i := range 8 {
+						id := fmt.Sprintf("%s-%d", route, i)
+						status, body, err := e.send(context.Background(), route, id, secret)
+						runs, want := len(e.runs(id)), "answer to "+id
+						if route == "stream" || route == "resume" {
+							want = streamText(id, 3)
+						}
+						qt.Check(t, err, qt.IsNil)
+						qt.Check(t, status, qt.Equals, 200)
+						qt.Check(t, body, qt.Equals, want)
+						qt.Check(t, runs, qt.Equals, 1, qt.Commentf("%s", id))
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestUnreachedTargetIsRetried guards against truncating a resumable stream because one
 // connection to the only other target fails, for example by a timeout on a busy host. The
 // target is tried once more; after a second failed connection the stream is truncated.
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -98,6 +98,46 @@
 	}
 }
 
+// TestItemResponseOutOfTurn guards against taking a response to an earlier attempt of an item, or
+// to another item, for the response to this attempt. An item keeps its ID over its attempts, so
+// the ID does not tell them apart.
+func TestItemResponseOutOfTurn(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  platformtest.Fault
+		status int
+		id     string
+	}{
+		{"refusal of the attempt before", platformtest.Shed, 503, "item"},
+		{"refusal with status 429 of the attempt before", platformtest.Shed, 429, "item"},
+		{"failure of the attempt before", platformtest.Fail, 500, "item"},
+		{"refusal of another item", platformtest.Shed, 503, "other"},
+		{"rejection of another item", platformtest.Fail, 422, "other"},
+		{"refusal without an ID", platformtest.Shed, 503, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := &platformtest.Target{Fault: func(_ string, n int) platformtest.Fault {
+				if n == 1 {
+					return test.first
+				}
+				return platformtest.None
+			}}
+			x.Stray = func(_, earlier string) platformtest.Stray {
+				if earlier == "" {
+					return platformtest.Stray{}
+				}
+				return platformtest.Stray{Raw: platformtest.Refusal(test.id, test.status, test.status != 500 && test.status != 422)}
+			}
+			w, task := newBatchOnlyWorker(t, x, clockwork.NewRealClock())
+			qt.Assert(t, w.streamItem(context.Background(), task), qt.Not(qt.IsNil))
+			err := w.streamItem(context.Background(), task)
+			qt.Assert(t, err == nil, qt.IsTrue, qt.Commentf("%v", err))
+			qt.Assert(t, string(task.output.Text), qt.Equals, platformtest.Output("item", 10))
+		})
+	}
+}
+
 // TestStallTimeoutEndsAttempt guards against an item that keeps its lease for ever:
 // its target accepts the request and then sends nothing, so without a stall timeout
 // the attempt never ends.
