ingress: a status that promises that nothing ran needs the target's word

A caller takes 503, 429 and 408 for the promise that its request did not run and never will. A target that ran a request and responded with such a status, without stating that it did not run, had it passed on unchanged: REFUSED, in a second way that the same record would show.

TestStatusWithoutPromise failed before with 503, 429 and 408 for unsafe requests and streams. They end as MayHaveRun now, with 502. Requests that may be repeated keep the target's own status.

--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -355,12 +355,13 @@
 		a.finish(true)
 		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.Ran, "target %s answered with status %d", a.target.Instance.ID, status)
 	}
-	a.copyHead()
-	if a.head.ReadAsNotRun {
+	if a.head.ReadAsNotRun && !a.x.idempotent() {
 		a.server.Counts.UnstatedPromises.Add(1)
-		a.server.Logger.WithFields(a.x.fields(a.server.Clock.Now())).WithField("status", a.response.Status).
-			Info("callers take the status as a promise that the target did not give")
+		status := a.response.Status
+		a.finish(failed)
+		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "target %s answered with status %d and did not state that nothing ran", a.target.Instance.ID, status)
 	}
+	a.copyHead()
 	if len(body) > maxBufferedBytes {
 		a.progress.Event(a.server.Clock.Now())
 		a.x.HTTP.Response.SetBodyStream(&longBody{attempt: a, buffered: body, remaining: maxResponseBytes - len(body)}, -1)
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -353,6 +353,25 @@
 	}
 }
 
+// TestStatusWithoutPromise guards against a status that promises callers that nothing ran, for a
+// request that may not be repeated and that a target ran: the target gave that status without
+// stating the promise.
+func TestStatusWithoutPromise(t *testing.T) {
+	for _, status := range []int{503, 429, 408} {
+		fail := func(string, int) platformtest.Fault { return platformtest.Fail }
+		e := newEntry(t, &platformtest.Target{Fault: fail, FailStatus: status}, &platformtest.Target{Fault: fail, FailStatus: status})
+		for _, route := range []string{"unsafe", "stream"} {
+			got, _, err := e.send(context.Background(), route, route, secret)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, got, qt.Equals, 502, qt.Commentf("%s, status %d of the target", route, status))
+			qt.Check(t, e.runs(route), qt.HasLen, 1)
+		}
+		got, _, err := e.send(context.Background(), "safe", "safe", secret)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, status)
+	}
+}
+
 // TestUnreachedTargetIsRetried guards against truncating a resumable stream because one
 // connection to the only other target fails, for example by a timeout on a busy host. The
 // target is tried once more; after a second failed connection the stream is truncated.
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -78,7 +78,7 @@
 // Counters are the expvar counters of a Server: requests received and refused, retries,
 // streams resumed at another target, responses that were truncated, requests that targets
 // refused, callers that disconnected, requests whose handling panicked, requests whose prompts
-// are blocked, and responses whose status promises that nothing ran without the target stating it.
+// are blocked, and responses that were withheld because their status would promise that nothing ran.
 type Counters struct {
 	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises *expvar.Int
 }
