rpc/control: an error keeps the worst verdict of all attempts

If the next attempt failed with another code than Unavailable, the call returned that error's verdict, NotRun, which an entry turns into 503, the promise that nothing of a batch job runs. TestVerdictOfEarlierAttempt failed before (NotRun).

--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -128,8 +128,8 @@
 
 // call sends in to the leader of a group. It follows redirects and retries errors with
 // CodeUnavailable until ctx ends. It fails immediately with other errors, and if no host
-// is known. Only the first redirect in a row is followed without a wait: hosts that have not
-// heard of a new leader may name each other.
+// is known; the verdict of its error is the worst of all attempts. Only the first redirect in
+// a row is followed without a wait: hosts that have not heard of a new leader may name each other.
 func call[Out, In any, P interface {
 	*Out
 	redirector
@@ -157,10 +157,12 @@
 			redirects = 0
 		} else {
 			e := rhubarbgate.AsError(err)
+			verdict = verdict.Worst(e.Verdict)
 			if e.Code != rhubarbgate.CodeUnavailable {
-				return nil, e
+				last := *e
+				last.Verdict = verdict
+				return nil, &last
 			}
-			verdict = verdict.Worst(e.Verdict)
 			c.setLeader(group, netip.AddrPort{})
 			if timedOut {
 				c.avoid(a)
--- a/internal/rpc/control/client_test.go
+++ b/internal/rpc/control/client_test.go
@@ -11,7 +11,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
 
 // startHost runs a control host that replies to Document as the leader or, if
@@ -78,6 +80,30 @@
 	qt.Assert(t, c.isAvoided(frozen), qt.IsFalse)
 }
 
+// TestVerdictOfEarlierAttempt guards against a promise that nothing ran for a command that an earlier
+// attempt may have committed: its reply was lost, and the next attempt is refused.
+func TestVerdictOfEarlierAttempt(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var calls atomic.Int32
+	m := wire.NewMux()
+	wire.Unary(m, MethodPropose, wire.Operators, func(context.Context, *Propose) (*ProposeReply, error) {
+		if calls.Add(1) == 1 {
+			return nil, rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.MayHaveRun, "the outcome is unknown")
+		}
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeStale, rhubarbgate.NotRun, "refused")
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = m.Serve(ctx, l) }()
+	c := &Client{Wire: wire.NewClient(nil), Hosts: []netip.AddrPort{l.Addr().(*net.TCPAddr).AddrPort()}, Clock: clockwork.NewRealClock()}
+	defer c.Wire.Close()
+	_, err = c.Jobs(ctx, 1, jobs.Command{})
+	qt.Assert(t, calls.Load(), qt.Equals, int32(2))
+	qt.Assert(t, rhubarbgate.AsError(err).Code, qt.Equals, rhubarbgate.CodeStale)
+	qt.Assert(t, rhubarbgate.AsError(err).Verdict, qt.Equals, rhubarbgate.MayHaveRun)
+}
+
 // TestHostsThatNameEachOther guards against a client and two hosts that are busy with calls for as
 // long as each of the hosts takes the other for the leader, as they may during an election.
 func TestHostsThatNameEachOther(t *testing.T) {
