list: tests of odd entries in the platform's lists, red

An entry of the list may come from another writer; it should name no target, and the others should hold.

--- a/internal/controller/discovery/table_test.go
+++ b/internal/controller/discovery/table_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
@@ -103,3 +106,51 @@
 	qt.Assert(t, list, qt.HasLen, 0)
 	qt.Assert(t, candidates, qt.HasLen, 0)
 }
+
+// TestEntriesForOneAddress guards against a target that another entry of the list displaces, which
+// repeats its ID and address for another service, or its address with another ID, and against one
+// that starts and stops leaving with each list because two entries disagree.
+func TestEntriesForOneAddress(t *testing.T) {
+	sound := listOfOne()[0]
+	tests := []struct {
+		name    string
+		change  func(x *rhubarbgate.Instance)
+		leaving bool
+	}{
+		{"other service", func(x *rhubarbgate.Instance) { x.Service = "other" }, false},
+		{"other service, leaving", func(x *rhubarbgate.Instance) { x.Service, x.Leaving = "other", true }, false},
+		{"other ID", func(x *rhubarbgate.Instance) { x.ID, x.Service = "other", "other" }, false},
+		{"other zone", func(x *rhubarbgate.Instance) { x.AvailabilityZone = "other" }, false},
+		{"the same", func(*rhubarbgate.Instance) {}, false},
+		{"leaving", func(x *rhubarbgate.Instance) { x.Leaving = true }, true},
+	}
+	for _, test := range tests {
+		for _, first := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, first %v", test.name, first), func(t *testing.T) {
+				lines := memory.New()
+				clock := clockwork.NewFakeClock()
+				table := &Table{Clock: clock, Logger: &log.Logger{Handler: lines, Level: log.InfoLevel}}
+				table.Update([]rhubarbgate.Instance{sound}, clock.Now())
+				held := table.Target(sound)
+				other := sound
+				test.change(&other)
+				list := []rhubarbgate.Instance{sound, other}
+				if first {
+					slices.Reverse(list)
+				}
+				logged := 0
+				for i := range 5 {
+					clock.Advance(time.Second)
+					table.Update(slices.Clone(list), clock.Now())
+					qt.Assert(t, table.Target(sound), qt.Equals, held)
+					if i == 0 {
+						logged = len(lines.Entries)
+					}
+				}
+				candidates, _ := table.Candidates(sound.Service, true, nil)
+				qt.Assert(t, len(candidates) == 1 && candidates[0] == held, qt.Equals, !test.leaving)
+				qt.Assert(t, lines.Entries, qt.HasLen, logged)
+			})
+		}
+	}
+}
--- a/internal/controller/targets/hostlist_test.go
+++ b/internal/controller/targets/hostlist_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/apex/log"
@@ -44,6 +46,21 @@
 	return r
 }
 
+// startHostList serves the body as the platform's list of hosts and returns its reader and a
+// client for it.
+func startHostList(t *testing.T, table *Table, body *string) (*HostList, *target.Client) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, *body) }))
+	}()
+	list := &HostList{Source: l.Addr().(*net.TCPAddr).AddrPort(), Path: "/hosts", Table: table}
+	client := &target.Client{Address: list.Source}
+	t.Cleanup(client.CloseIdle)
+	return list, client
+}
+
 // TestPlatformListExcludesLeavingHosts guards against requests to a target whose host
 // is leaving, and against the loss of others: a target whose host the list lacks
 // stays, and a list that cannot be decoded changes nothing.
@@ -51,15 +68,7 @@
 	c := qt.New(t)
 	table := newTable(t, "127.0.0.2:1", "127.0.0.3:1")
 	body := `[{"Address":"127.0.0.2","State":"leaving"},{"Address":"127.0.0.9","State":"live"}]`
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
-	}()
-	list := &HostList{Source: l.Addr().(*net.TCPAddr).AddrPort(), Path: "/hosts", Table: table}
-	client := &target.Client{Address: list.Source}
-	defer client.CloseIdle()
+	list, client := startHostList(t, table, &body)
 	c.Assert(list.read(context.Background(), client), qt.IsNil)
 	// The list lacks the host of the other target, which may be new.
 	c.Assert(candidateNames(table.Candidates("m", "", nil)), qt.DeepEquals, []string{"127.0.0.3:1"})
@@ -68,6 +77,33 @@
 	c.Assert(candidateNames(table.Candidates("m", "", nil)), qt.DeepEquals, []string{"127.0.0.3:1"})
 }
 
+// TestOddEntriesInTheHostList guards against requests to a target whose host is leaving because
+// another entry of the list is odd, and against taking a list without entries for one that names
+// no leaving host.
+func TestOddEntriesInTheHostList(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(t, "127.0.0.2:1", "127.0.0.3:1")
+	body := ""
+	list, client := startHostList(t, table, &body)
+	for _, odd := range []string{
+		`null`, `5`, `{}`, `{"Address":5,"State":"leaving"}`, `{"Address":"127.0.0.300","State":"leaving"}`, `{"Address":"127.0.0.3","State":1e400}`,
+		`{"Address":"127.0.0.3"`, `{"Address":"127.0.0.3","State":"lea`, strings.Repeat("[", 20_000), strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	} {
+		for _, format := range []string{"[%s]", `[%s,{"Address":"127.0.0.2","State":"leaving"}]`, `[{"Address":"127.0.0.2","State":"leaving"},%s]`} {
+			body = fmt.Sprintf(format, odd)
+			c.Check(list.read(context.Background(), client), qt.IsNil, qt.Commentf("%.60s", body))
+			want := []string{"127.0.0.3:1"}
+			if format == "[%s]" {
+				want = []string{"127.0.0.2:1", "127.0.0.3:1"}
+			}
+			c.Check(candidateNames(table.Candidates("m", "", nil)), qt.ContentEquals, want, qt.Commentf("%.60s", body))
+		}
+	}
+	for _, body = range []string{`not JSON`, `null`, `[{"Address":"127.0.0.2","State":"live"}`, `{}`, ``} {
+		c.Check(list.read(context.Background(), client), qt.IsNotNil, qt.Commentf("%s", body))
+	}
+}
+
 // TestTriedTargetsAreNotChosenAgain guards against a retry at a target that already
 // got the request, and against candidates for a model that no target serves.
 func TestTriedTargetsAreNotChosenAgain(t *testing.T) {
--- a/internal/role/replica/targets_test.go
+++ b/internal/role/replica/targets_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,18 @@
 	check("b", time.Second)
 }
 
+// TestRepeatedEntriesKeepTheDigest guards against daemons that get the whole list with each reading
+// because entries with the same ID and address are in another order.
+func TestRepeatedEntriesKeepTheDigest(t *testing.T) {
+	h := &Host{Clock: clockwork.NewFakeClock()}
+	list := []rhubarbgate.Instance{{ID: "a", Service: "s"}, {ID: "a", Service: "other"}, {ID: "a", Service: "s", Leaving: true}, {ID: "a", Service: "s", Slots: 8}, {ID: "a", Service: "s", AvailabilityZone: "z"}}
+	h.setTargets(slices.Clone(list), h.Clock.Now())
+	digest := h.targetsDigest()
+	slices.Reverse(list)
+	h.setTargets(list, h.Clock.Now())
+	qt.Assert(t, h.targetsDigest(), qt.Equals, digest)
+}
+
 // TestOneHostReadsTargets guards against control hosts that all read the platform's list,
 // against a new leader that reads it late or seldom while the targets restart, and against
 // hosts without a leader that have no list.
