list: one odd entry hides no others and names no target

Operators saw machines that read the platform's list end again and again, or stop following it, after another writer had left one odd entry: nested very deeply, with a number too large, or with a port out of range. Cause here: a page was decoded as a whole. encoding/json refuses all of it if one entry is not JSON or is nested deeper than 10,000, so every reader kept the list that it had. No process ended in the tests. Numbers and ports out of range failed by themselves, but port 0, an unspecified address,  slots, a repeated field, control characters and names of any length were used; three zones of 3 MB could make the list longer than a message may be. The list of hosts had the same fault. A body over the limit was cut off, a page "{}" emptied the list, and a repeated token was followed for 1000 pages. Change: internal/http/listing splits a list by its brackets, commas and colons alone, without recursion and in linear time; each entry is decoded by itself. If the brackets do not match, it goes on behind the next comma. Entries with a field of another type, twice, missing, null or out of bounds are left out and counted, by control hosts too (ListEntriesUnreadable) and for the list of hosts (HostListEntriesUnreadable). version and cold_left_ms may be missing, since nothing uses them. A page without its array or its next token fails the round, and the earlier list stays.

--- a/internal/controller/targets/hostlist.go
+++ b/internal/controller/targets/hostlist.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
+	"rhubarbgate.example/rhubarbgate/internal/http/listing"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 )
 
@@ -20,7 +21,7 @@
 	// the timeout of each.
 	hostListInterval = time.Second
 	// maxHostListBytes bounds how much of a response is read.
-	maxHostListBytes = 4 << 20
+	maxHostListBytes = 16 << 20
 )
 
 // ListedHost is one element of the platform's list of hosts.
@@ -39,8 +40,8 @@
 	Path   string
 	Clock  clockwork.Clock
 	Table  *Table
-	// Failures counts failed reads of the list.
-	Failures *expvar.Int
+	// Failures counts failed reads of the list, Unreadable its elements that were skipped.
+	Failures, Unreadable *expvar.Int
 }
 
 // Run reads the list every hostListInterval until ctx ends. A failed read keeps the
@@ -78,10 +79,20 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	var hosts []ListedHost
-	if err := json.Unmarshal(body, &hosts); err != nil {
+	p, err := listing.Parse(body, "")
+	if err != nil {
 		return errors.Trace(err)
 	}
+	l.Unreadable.Add(int64(p.Damaged))
+	var hosts []ListedHost
+	for _, raw := range p.Entries {
+		var x ListedHost
+		if json.Unmarshal(raw, &x) != nil || !x.Address.IsValid() {
+			l.Unreadable.Add(1)
+			continue
+		}
+		hosts = append(hosts, x)
+	}
 	l.Table.SetLeaving(hosts)
 	return nil
 }
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -121,7 +121,10 @@
 	tasks.Go(func() { table.Run(work) })
 	tasks.Go(func() { exchange.Run(work) })
 	if h.HostList.IsValid() {
-		list := &targets.HostList{Source: h.HostList, Path: h.HostListPath, Clock: h.Clock, Table: table, Failures: newCounter(h.Metrics, "HostListFailures")}
+		list := &targets.HostList{
+			Source: h.HostList, Path: h.HostListPath, Clock: h.Clock, Table: table,
+			Failures: newCounter(h.Metrics, "HostListFailures"), Unreadable: newCounter(h.Metrics, "HostListEntriesUnreadable"),
+		}
 		tasks.Go(func() { list.Run(work) })
 	}
 	tasks.Go(func() { recorder.Run(work) })
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -46,6 +46,8 @@
 	h.Metrics.Set("ListFailures", failures)
 	reads := new(expvar.Int)
 	h.Metrics.Set("ListReads", reads)
+	unreadable := new(expvar.Int)
+	h.Metrics.Set("ListEntriesUnreadable", unreadable)
 	r := targetsReader{startedAt: h.Clock.Now()}
 	for ctx.Err() == nil {
 		s := h.groups[control.FleetGroup].Status()
@@ -55,7 +57,7 @@
 		}
 		if r.due(h.Clock.Now(), s.Phase == raft.Leader || h.client == nil, listAt) {
 			reads.Add(1)
-			h.readTargets(ctx, failures)
+			h.readTargets(ctx, failures, unreadable)
 		}
 		select {
 		case <-ctx.Done():
@@ -97,13 +99,14 @@
 	return true
 }
 
-// readTargets requests the list from the platform once.
-func (h *Host) readTargets(ctx context.Context, failures *expvar.Int) {
+// readTargets requests the list from the platform once. A failure keeps the current list.
+func (h *Host) readTargets(ctx context.Context, failures, unreadable *expvar.Int) {
 	ctx, cancel := context.WithTimeout(ctx, targetsListTimeout)
 	defer cancel()
 	at := h.Clock.Now()
-	list, _, err := h.Directory.List(ctx)
+	list, skipped, err := h.Directory.List(ctx)
 	if err == nil {
+		unreadable.Add(int64(skipped))
 		h.setTargets(list, at)
 		return
 	}
