discovery: an entry for another service displaces no target

Another writer can leave a copy of a sound entry with a service that no route has. Its ID and address were the key of the target: each list replaced the sound target by one of the other service, and back if the order was the other way round, with its state and its connections. Of several instances at the address of a side's target, the side took any one, at each call another. Change: the service belongs to the key. Entries that repeat ID, address and service count as one, which is leaving if one of them is. A side takes the instance whose service a route has, that is not leaving, and that was listed first. The digest of the list that control hosts send does not depend on the order of such entries.

--- a/internal/controller/discovery/adopt.go
+++ b/internal/controller/discovery/adopt.go
@@ -53,15 +53,15 @@
 
 // adopt replaces the target, unless the list did so meanwhile. The lock is held.
 func (t *Table) adopt(x *Target, id string, now time.Time) *Target {
-	k := targetKey{id, x.Instance.Address}
+	k := targetKey{id, x.Instance.Address, x.Instance.Service}
 	if listed := t.targets[k]; listed != nil {
 		return listed
 	}
-	if _, ok := t.targets[targetKey{x.Instance.ID, x.Instance.Address}]; !ok {
+	if _, ok := t.targets[keyOf(x.Instance)]; !ok {
 		return nil
 	}
 	t.adoptions[k.address] = adoption{earlier: x.Instance.ID, current: id, until: now.Add(adoptionTTL)}
-	delete(t.targets, targetKey{x.Instance.ID, x.Instance.Address})
+	delete(t.targets, keyOf(x.Instance))
 	x.Client.CloseIdle()
 	restarted := x.Instance
 	restarted.ID, restarted.Leaving = id, false
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -61,6 +61,8 @@
 	// Confirm, if set, reports whether a side of the fleet shows that the address of an
 	// instance still belongs to its service; see Adopt.
 	Confirm func(ctx context.Context, i rhubarbgate.Instance) bool
+	// NamesService, if set, reports whether the configuration names a service; see Find.
+	NamesService func(service string) bool
 	// Failures counts failed requests for the list, Unreadable the list's entries
 	// that were skipped, Opened new connections to targets, and Ejections targets
 	// that were ejected.
@@ -72,24 +74,31 @@
 	once            sync.Once
 	mu              sync.RWMutex
 	targets         map[targetKey]*Target
+	added           int       // targets so far
 	listRequestedAt time.Time // zero while there is no list
 	adoptions       map[netip.AddrPort]adoption
 	adoptionPauses  map[netip.AddrPort]time.Time // when Adopt may ask again
 }
 
 // targetKey identifies a target. The identifier alone does not, because an instance
-// may keep it when it restarts at another address.
+// may keep it when it restarts at another address, and an entry of the list for another
+// service may repeat both.
 type targetKey struct {
 	id      string
 	address netip.AddrPort
+	service string
 }
 
+// keyOf returns the key of the target of an instance.
+func keyOf(i rhubarbgate.Instance) targetKey { return targetKey{i.ID, i.Address, i.Service} }
+
 // Target is one listed instance with its state as this process observes it.
 type Target struct {
 	Instance rhubarbgate.Instance
 	Client   *target.Client
 
 	name    string
+	number  int         // of the target in the order in which they were added
 	leaving atomic.Bool // as the list shows it
 	// announcedLeaving is set by a response of the target. It holds for the rest of the
 	// instance's life, whatever the list shows: the list lags, and may be out of reach.
@@ -181,13 +190,13 @@
 		return
 	}
 	t.listRequestedAt = requestedAt
-	list = t.withAdoptions(list)
+	list = withoutRepetitions(t.withAdoptions(list))
 	present := map[targetKey]bool{}
 	for _, x := range list {
-		k := targetKey{x.ID, x.Address}
+		k := keyOf(x)
 		present[k] = true
 		current := t.targets[k]
-		if current == nil || current.Instance.Service != x.Service {
+		if current == nil {
 			current = t.add(k, x)
 		}
 		wasLeaving := current.leaving.Swap(x.Leaving)
@@ -212,6 +221,22 @@
 	})
 }
 
+// withoutRepetitions returns the list with one entry for each target: the first, leaving
+// if any of them is.
+func withoutRepetitions(list []rhubarbgate.Instance) []rhubarbgate.Instance {
+	first := make(map[targetKey]int, len(list))
+	r := make([]rhubarbgate.Instance, 0, len(list))
+	for _, x := range list {
+		if i, repeated := first[keyOf(x)]; repeated {
+			r[i].Leaving = r[i].Leaving || x.Leaving
+			continue
+		}
+		first[keyOf(x)] = len(r)
+		r = append(r, x)
+	}
+	return r
+}
+
 // isLeaving reports whether the target may get no more requests.
 func (x *Target) isLeaving() bool { return x.leaving.Load() || x.announcedLeaving.Load() }
 
@@ -230,10 +255,15 @@
 
 // RecordLeavingAt is RecordLeaving for the listed instance with the given ID and address.
 func (t *Table) RecordLeavingAt(id string, address netip.AddrPort) {
+	var leaving []*Target
 	t.mu.RLock()
-	x := t.targets[targetKey{id, address}]
+	for k, x := range t.targets {
+		if k.id == id && k.address == address {
+			leaving = append(leaving, x)
+		}
+	}
 	t.mu.RUnlock()
-	if x != nil {
+	for _, x := range leaving {
 		t.RecordLeaving(x)
 	}
 }
@@ -243,7 +273,8 @@
 
 // add adds a target. The lock is held.
 func (t *Table) add(k targetKey, x rhubarbgate.Instance) *Target {
-	added := &Target{Instance: x, name: TargetName(x), Client: &target.Client{
+	t.added++
+	added := &Target{Instance: x, name: TargetName(x), number: t.added, Client: &target.Client{
 		Address: x.Address, Dialer: cmp.Or(t.Dialer, socket.Dialer(dialTimeout)), NonIdempotentMaxIdle: maxIdleNonIdempotent, MaxIdle: maxIdle,
 		Clock: t.Clock, CloseDelimited: true, Opened: t.Opened,
 	}}
@@ -259,22 +290,40 @@
 	t.initialize()
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.targets[targetKey{i.ID, i.Address}]
+	return t.targets[keyOf(i)]
 }
 
-// Find returns the instance at an address, if it is listed.
+// Find returns the instance at an address, if it is listed. If the list has several there, it is
+// one of a service that the configuration names, that is not leaving, and that was listed first.
 func (t *Table) Find(address netip.AddrPort) (rhubarbgate.Instance, bool) {
 	t.initialize()
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	var found *Target
 	for _, x := range t.targets {
-		if x.Instance.Address == address {
-			instance := x.Instance
-			instance.Leaving = x.isLeaving()
-			return instance, true
+		if x.Instance.Address == address && (found == nil || t.isPreferred(x, found)) {
+			found = x
+		}
+	}
+	if found == nil {
+		return rhubarbgate.Instance{}, false
+	}
+	instance := found.Instance
+	instance.Leaving = found.isLeaving()
+	return instance, true
+}
+
+// isPreferred reports whether Find returns x rather than y.
+func (t *Table) isPreferred(x, y *Target) bool {
+	if t.NamesService != nil && x.Instance.Service != y.Instance.Service {
+		if a, b := t.NamesService(x.Instance.Service), t.NamesService(y.Instance.Service); a != b {
+			return a
 		}
 	}
-	return rhubarbgate.Instance{}, false
+	if a, b := x.isLeaving(), y.isLeaving(); a != b {
+		return b
+	}
+	return x.number < y.number
 }
 
 // Candidates returns the targets of a service that may run a request, and for each
--- a/internal/controller/discovery/table_test.go
+++ b/internal/controller/discovery/table_test.go
@@ -147,6 +147,11 @@
 						logged = len(lines.Entries)
 					}
 				}
+				for range 20 {
+					found, ok := table.Find(sound.Address)
+					qt.Assert(t, ok, qt.IsTrue)
+					qt.Assert(t, []any{found.ID, found.Service, found.Leaving}, qt.DeepEquals, []any{sound.ID, sound.Service, test.leaving})
+				}
 				candidates, _ := table.Candidates(sound.Service, true, nil)
 				qt.Assert(t, len(candidates) == 1 && candidates[0] == held, qt.Equals, !test.leaving)
 				qt.Assert(t, lines.Entries, qt.HasLen, logged)
@@ -154,3 +159,20 @@
 		}
 	}
 }
+
+// TestFindInFirstList guards against a side that takes its target for one of a service that no
+// route has, because the first list that it gets has such an entry with the same address.
+func TestFindInFirstList(t *testing.T) {
+	sound := listOfOne()[0]
+	sound.Leaving = true
+	odd := sound
+	odd.Service, odd.Leaving = "other", false
+	clock := clockwork.NewFakeClock()
+	table := &Table{Clock: clock, Logger: &log.Logger{Handler: discard.New()}, NamesService: func(s string) bool { return s == sound.Service }}
+	table.Update([]rhubarbgate.Instance{odd, sound}, clock.Now())
+	for range 20 {
+		found, ok := table.Find(sound.Address)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, found, qt.Equals, sound)
+	}
+}
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -143,11 +143,23 @@
 	h.replaceTargets(x)
 }
 
+// compareInstances orders instances by all of their fields, so that the order of the platform's
+// list does not change the digest.
+func compareInstances(a, b rhubarbgate.Instance) int {
+	leaving := 0
+	switch {
+	case a.Leaving && !b.Leaving:
+		leaving = 1
+	case b.Leaving && !a.Leaving:
+		leaving = -1
+	}
+	return cmp.Or(cmp.Compare(a.ID, b.ID), a.Address.Compare(b.Address), cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.Slots, b.Slots), leaving)
+}
+
 // setTargets stores a list that was read from the platform.
 func (h *Host) setTargets(list []rhubarbgate.Instance, at time.Time) {
-	slices.SortFunc(list, func(a, b rhubarbgate.Instance) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), a.Address.Compare(b.Address))
-	})
+	slices.SortFunc(list, compareInstances)
 	b, err := wire.Marshal(list)
 	if err != nil {
 		// Unreachable: the type has only strings, numbers and addresses.
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -136,6 +137,16 @@
 	return r
 }
 
+// namesService reports whether a route has the service.
+func (h *Host) namesService(service string) bool {
+	for _, x := range h.configuration().Routes {
+		if slices.ContainsFunc(x.Split, func(s rhubarbgate.Share) bool { return s.Service == service }) {
+			return true
+		}
+	}
+	return false
+}
+
 func splitIncludes(split []rhubarbgate.Share, service string) bool {
 	for _, s := range split {
 		if s.Service == service && s.Weight > 0 {
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -194,6 +194,7 @@
 			controls.SetHosts(p.Controls)
 		}
 		h.watcher.OnTargets, h.watcher.OnQuarantine, h.watcher.OnTargetLimits = h.Targets.Update, h.crashes.Update, h.limits.Update
+		h.Targets.NamesService = h.namesService
 		h.Targets.Confirm = func(_ context.Context, i rhubarbgate.Instance) bool { return i.Address == h.Target }
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
