streams: tests of continuations that are none

A head in place of a chunk breaks the stream. A stream that ends without events on a kept connection is read once more after its end, and its caller waits until the deadline.

--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -55,6 +55,8 @@
 	limits  *rhubarbgate.CallerLimits
 	// prompt is the value of X-Prompt-Prefix in the requests that send sends.
 	prompt string
+	// lastEvent is the value of Last-Event-Id in the requests that send sends.
+	lastEvent string
 
 	mu sync.Mutex
 	// failingDials holds for each address how many of the next connections fail.
@@ -154,6 +156,9 @@
 	if e.prompt != "" {
 		q.Header.Set("X-Prompt-Prefix", e.prompt)
 	}
+	if e.lastEvent != "" {
+		q.Header.Set("Last-Event-Id", e.lastEvent)
+	}
 	if key != "" {
 		q.Header.Set("Authorization", "Bearer "+key)
 	}
--- /dev/null
+++ b/internal/role/side/continuation_test.go
@@ -0,0 +1,76 @@
+package side
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
+)
+
+// TestItemsContinueOnlyTheirOwnOutput guards against an item whose output goes on, after its stream
+// broke off, with an error's text, with events that it had, or without the next one, and against one
+// that ends there as done. An attempt that fails leaves only what the next one may continue.
+func TestItemsContinueOnlyTheirOwnOutput(t *testing.T) {
+	for _, fault := range []platformtest.Fault{
+		platformtest.ResumeError, platformtest.ResumePlainText, platformtest.ResumeRepeat, platformtest.ResumeSkip, platformtest.ResumeEmpty,
+		platformtest.Shed, platformtest.Fail, platformtest.Unprocessable, platformtest.NoEvents, platformtest.CutStream,
+	} {
+		for _, isUnframed := range []bool{false, true} {
+			faults := []platformtest.Fault{platformtest.CutStream, fault, platformtest.None}
+			x := &platformtest.Target{Unframed: isUnframed, Fault: func(_ string, n int) platformtest.Fault { return faults[min(n, len(faults))-1] }}
+			w, task := newBatchOnlyWorker(t, x, clockwork.NewRealClock())
+			whole := platformtest.Output("item", 10)
+			for n := range faults {
+				err := w.streamItem(context.Background(), task)
+				qt.Check(t, err == nil, qt.Equals, n == len(faults)-1, qt.Commentf("fault %d, attempt %d: %v", fault, n, err))
+				qt.Check(t, strings.HasPrefix(whole, string(task.output.Text)), qt.IsTrue, qt.Commentf("fault %d: %q", fault, task.output.Text))
+				if err != nil {
+					task.output = decodeOutput(task.output.encode())
+				}
+			}
+			qt.Check(t, string(task.output.Text), qt.Equals, whole, qt.Commentf("fault %d", fault))
+		}
+	}
+}
+
+// TestItemsThatEndAtOnceStartOver guards against an item that is continued for ever after its last
+// event, because the stream broke off between that and its end.
+func TestItemsThatEndAtOnceStartOver(t *testing.T) {
+	o := output{LastID: "2", Text: []byte("a\nb")}
+	err := o.readEvents(strings.NewReader(""), func() {})
+	qt.Assert(t, err != nil, qt.IsTrue)
+	qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
+	// The output that is returned with the lease replaces the one that the lease came with.
+	qt.Assert(t, len(o.encode()) > 0, qt.IsTrue)
+	o = decodeOutput(o.encode())
+	qt.Assert(t, o.LastID, qt.Equals, "")
+	qt.Assert(t, o.Text, qt.HasLen, 0)
+}
+
+// TestOutputWithoutNumbers guards against output that a next attempt repeats, because the event that
+// brought it has no number to continue after.
+func TestOutputWithoutNumbers(t *testing.T) {
+	tests := []struct {
+		name, stream string
+		done         bool
+		want         output
+	}{
+		{"a last event without a number", "id: 1\ndata: a\n\ndata: b\n\n", true, output{LastID: "1", Text: []byte("a\nb")}},
+		{"broken off after it", "id: 1\ndata: a\n\ndata: b\n\nid", false, output{LastID: "1", Text: []byte("a")}},
+		{"broken off before any number", "data: a\n\nid", false, output{}},
+		{"other IDs", "id: x\ndata: a\n\nid", false, output{}},
+		{"a first event without a number", "data: a\n\nid: 1\ndata: b\n\nid", false, output{LastID: "1", Text: []byte("a\nb")}},
+	}
+	for _, test := range tests {
+		var o output
+		err := o.readEvents(strings.NewReader(test.stream), func() {})
+		qt.Check(t, err == nil, qt.Equals, test.done, qt.Commentf("%s: %v", test.name, err))
+		qt.Check(t, o.LastID, qt.Equals, test.want.LastID, qt.Commentf(test.name))
+		qt.Check(t, string(o.Text), qt.Equals, string(test.want.Text), qt.Commentf(test.name))
+	}
+}
