streams: a continuation is checked before a byte of it is passed on

Items ended as completed with "item-1 … item-5 item-1 …" or without item-6. The same held for the first response, also to a caller that resumes a stream itself.

The cause: the only check of a continuation was its status. The reader of events took any lines for an event, and nobody compared the IDs. A first event was awaited before the head went out, but not for a continuation, so that an empty one counted as the end. Behind an event without an ID a stream was resumed after an earlier one. And after its end a stream without events was read once more, into the connection's next response, so its caller waited until the deadline.

Now one reader, for callers and items, knows the position of the stream over all of its responses. What does not fit is an error like a broken connection: the attempt fails, its connection is closed, and the next attempt is made within the same budget, or the stream ends without its end. An entry awaits the first event of a continuation before it goes on with it. Fields that targets add themselves ("x-weight-versions") may stand before an event's own; behind them they may be from another head. An item whose continuation has no event starts over: the stream may have broken off behind its last event, and then nothing is left to continue.

Three expectations changed. TestReader: a response without an event is ErrNoEvent. TestEndlessOutput numbers its events, since the same number twice fails sooner. A first response of comments alone has its own case: its head goes out with the first comment, so a stream that can be resumed begins again behind them, and any other ends cut instead of with an error status.

--- a/internal/http/events/reader_test.go
+++ b/internal/http/events/reader_test.go
@@ -18,16 +18,17 @@
 		want     []Event
 		err      error
 	}{
-		{"empty", "", nil, io.EOF},
+		{"empty", "", nil, ErrNoEvent},
 		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []Event{{ID: "1", Data: []byte("a")}, {ID: "2", Data: []byte("b")}}, io.EOF},
 		{"lines of data and other fields", "x: 3\nid:7\r\ndata: a\r\ndata: b\r\n\r\n", []Event{{ID: "7", Data: []byte("a\nb")}}, io.EOF},
 		{"cut in the middle", "id: 1\ndata: a\n\nid: 2\nda", []Event{{ID: "1", Data: []byte("a")}}, ErrPartial},
 		{"cut before the empty line", "id: 1\ndata: a\n", nil, ErrPartial},
+		{"a field of the target after a comment", ": c\nx-own: 3\nid: 1\n\n", []Event{{ID: "1"}}, io.EOF},
 		{"longer than the buffer", "id: 1\ndata: " + long + "\n\n", []Event{{ID: "1", Data: []byte(long)}}, io.EOF},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := NewReader(iotest.OneByteReader(strings.NewReader(test.in)))
+			r := NewReader(iotest.OneByteReader(strings.NewReader(test.in)), nil)
 			raw := 0
 			for _, want := range test.want {
 				e, err := r.Next()
@@ -47,7 +48,7 @@
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\nda")
 	f.Fuzz(func(t *testing.T, in string) {
-		r := NewReader(strings.NewReader(in))
+		r := NewReader(strings.NewReader(in), nil)
 		got := ""
 		for {
 			e, err := r.Next()
@@ -76,7 +77,7 @@
 // TestEndlessLine guards against a line without end that is collected in memory.
 func TestEndlessLine(t *testing.T) {
 	in := &endless{}
-	_, err := NewReader(io.MultiReader(strings.NewReader("data: "), io.LimitReader(in, 64<<20))).Next()
+	_, err := NewReader(io.MultiReader(strings.NewReader("data: "), io.LimitReader(in, 64<<20)), nil).Next()
 	qt.Assert(t, err, qt.ErrorMatches, "event is longer than .* bytes")
 	qt.Assert(t, in.read <= 2*maxEventBytes, qt.IsTrue, qt.Commentf("%d bytes read", in.read))
 }
--- a/internal/http/ingress/continuation_test.go
+++ b/internal/http/ingress/continuation_test.go
@@ -122,7 +122,6 @@
 		"compressed":              response(streamHead+"Content-Encoding: gzip\r\n", eventsOf(4, 6)),
 		"ends at once":            stream(""),
 		"is empty":                "HTTP/1.1 " + streamHead + "X-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n",
-		"only comments":           stream(": wait\n\n: wait\n\n"),
 		"a head":                  stream(strayHead),
 		"a head, unframed":        unframed(strayHead),
 		"a head in place of data": strings.TrimSuffix(stream(""), "0\r\n\r\n") + strayHead,
@@ -136,6 +135,7 @@
 // first one broke off.
 func TestContinuationsThatAreNone(t *testing.T) {
 	cases := notStreams()
+	cases["only comments"] = stream(": wait\n\n: wait\n\n")
 	for _, status := range []int{204, 206, 301, 307, 400, 404, 408, 421, 422, 429, 500, 502, 503, 504} {
 		head := fmt.Sprintf("%d %s\r\nContent-Type: text/event-stream\r\n", status, http.StatusText(status))
 		body := "error: no room\n\n" + eventsOf(4, 6)
@@ -231,6 +231,20 @@
 			qt.Check(t, status, qt.Equals, http.StatusBadGateway, qt.Commentf("%q", body))
 		})
 	}
+	// Comments are passed on at once, and the caller has the head with them.
+	t.Run("only comments", func(t *testing.T) {
+		comments := ": wait\n\n: wait\n\n"
+		for _, first := range []string{stream(comments), cutStream(comments), unframed(comments)} {
+			e, targets := newRawEntry(t, first, stream(eventsOf(1, 6)))
+			_, body, err := e.send(context.Background(), "resume", "r", secret)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, body, qt.Equals, comments+eventsOf(1, 6))
+			qt.Check(t, targets.lastEvents, qt.DeepEquals, []string{"", ""})
+			e, _ = newRawEntry(t, first)
+			_, body, err = e.send(context.Background(), "stream", "r", secret)
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("the stream seems complete: %q", body))
+		}
+	})
 	for _, first := range []int{1, 2, 3, 5} {
 		t.Run(fmt.Sprintf("resumed by the caller, from event %d", first), func(t *testing.T) {
 			e, targets := newRawEntry(t, stream(eventsOf(first, 6)), stream(eventsOf(4, 6)))
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -17,34 +17,52 @@
 // passed on when it is complete. It waits for the first event: after a failure before it
 // the request can still be retried, or the caller gets an error status.
 func (a *attempt) startStream() *rhubarbgate.Error {
-	r := &streamBody{attempt: a, events: events.NewReader(a.response)}
-	first, err := r.events.Next()
-	if err == io.EOF && a.response.Unframed() {
-		err = errNoEvent
+	r := &streamBody{attempt: a}
+	if a.x.Route.Resumable {
+		r.position = events.After(string(a.x.HTTP.Request.Header.Peek(lastEventHeader)))
 	}
-	if err != nil && err != io.EOF {
-		a.server.Counts.TruncatedResponses.Add(1)
-		a.finish(true)
-		e := a.truncationError(err)
-		a.recordBreak(e)
+	if e := r.begin(a); e != nil {
 		return e
 	}
-	r.setEvent(first)
 	a.copyHead()
 	a.x.HTTP.Response.SetBodyStream(r, -1)
 	return nil
 }
 
-// errNoEvent reports a stream that ended with its connection before any event.
-const errNoEvent = errors.ConstError("the stream ended before its first event")
-
 // streamBody is the body of a streamed response to the caller.
 type streamBody struct {
 	*attempt
-	events      *events.Reader
-	lastEventID string // of the last event passed on that has an ID
-	unread      []byte // the part of the current event that Read has not returned
-	closed      bool
+	events   *events.Reader
+	position events.Position // after the last event passed on
+	unread   []byte          // the part of the current event that Read has not returned
+	closed   bool
+}
+
+// begin goes on with the response of an attempt. If it is no stream, or does not begin with the
+// next event, it finishes the attempt and returns an error, and nothing has been passed on.
+func (r *streamBody) begin(a *attempt) *rhubarbgate.Error {
+	err := events.CheckHead(a.response.Header)
+	var first events.Event
+	in := events.NewReader(a.response, &r.position)
+	if err == nil {
+		first, err = in.Next()
+	}
+	if err != nil {
+		a.finish(true)
+		return a.breakOff(err)
+	}
+	r.attempt, r.events = a, in
+	r.setEvent(first)
+	return nil
+}
+
+// breakOff ends an attempt whose response is unusable from here on because of err.
+func (a *attempt) breakOff(err error) *rhubarbgate.Error {
+	a.server.Counts.TruncatedResponses.Add(1)
+	e := a.truncationError(err)
+	a.recordBreak(e)
+	a.finish(e.Code == rhubarbgate.CodeUpstream)
+	return e
 }
 
 // setEvent makes e the next event to read.
@@ -53,9 +71,6 @@
 	if r.progress.Event(r.server.Clock.Now()) {
 		r.recordAnswer()
 	}
-	if e.ID != "" {
-		r.lastEventID = e.ID
-	}
 }
 
 // Read implements io.Reader for the HTTP server. After a failure it resumes the stream at
@@ -100,36 +115,41 @@
 // and reports whether it could.
 func (r *streamBody) resume(cause error) bool {
 	s, q := r.server, r.forwardedRequest
-	s.Counts.TruncatedResponses.Add(1)
-	e := r.truncationError(cause)
-	r.recordBreak(e)
-	r.finish(e.Code == rhubarbgate.CodeUpstream)
-	if !r.x.Route.Resumable || r.lastEventID == "" || e.Code != rhubarbgate.CodeUpstream {
-		s.Logger.WithFields(r.x.fields(s.Clock.Now())).Info("stream truncated: " + e.Message)
-		return false
-	}
-	q.request.Headers = withHeader(q.request.Headers, lastEventHeader, r.lastEventID)
-	q.resumed = true
-	for range maxAttempts {
-		if !s.shouldRetry(q, e) {
-			break
+	e := r.breakOff(cause)
+	id, ok := r.position.Resumable()
+	if r.x.Route.Resumable && ok && e.Code == rhubarbgate.CodeUpstream {
+		if id != "" { // otherwise the caller has only comments
+			q.request.Headers = withHeader(q.request.Headers, lastEventHeader, id)
+			q.resumed = true
 		}
-		a, err := q.send(len(q.tried) + 1)
-		if err == nil && a.response.Status != r.x.HTTP.Response.StatusCode() {
-			a.finish(true)
-			err = rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.Ran, "target %s resumed with status %d", a.target.Instance.ID, a.response.Status)
+		for range maxAttempts {
+			if !s.shouldRetry(q, e) {
+				break
+			}
+			if e = r.resumeOnce(); e == nil {
+				s.Counts.Resumed.Add(1)
+				return true
+			}
 		}
-		if err == nil {
-			s.Counts.Resumed.Add(1)
-			r.attempt, r.events = a, events.NewReader(a.response)
-			return true
-		}
-		e = err
 	}
 	s.Logger.WithFields(r.x.fields(s.Clock.Now())).Info("stream truncated: " + e.Message)
 	return false
 }
 
+// resumeOnce continues the stream at one other target.
+func (r *streamBody) resumeOnce() *rhubarbgate.Error {
+	q := r.forwardedRequest
+	a, err := q.send(len(q.tried) + 1)
+	if err != nil {
+		return err
+	}
+	if a.response.Status != r.x.HTTP.Response.StatusCode() {
+		a.finish(true)
+		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.Ran, "target %s resumed with status %d", a.target.Instance.ID, a.response.Status)
+	}
+	return r.begin(a)
+}
+
 // withHeader returns a copy of the headers in which the named one is replaced or added.
 func withHeader(list []rhubarbgate.Header, name, value string) []rhubarbgate.Header {
 	r := make([]rhubarbgate.Header, 0, len(list)+1)
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -38,11 +38,13 @@
 	LastID string
 	// Text is the data of all events, separated by line feeds.
 	Text []byte
+	// StartedOver says that the output that an earlier attempt stored must not be continued.
+	StartedOver bool `msgpack:"-"`
 }
 
-// encode returns nil for an output without events.
+// encode returns nil for an output without events, unless it replaces an earlier one.
 func (o *output) encode() []byte {
-	if o.LastID == "" {
+	if o.LastID == "" && !o.StartedOver {
 		return nil
 	}
 	b, err := wire.Marshal(o)
@@ -138,16 +140,37 @@
 	if e := w.checkHead(a, i, id); e != nil {
 		return e
 	}
-	events, resumed := 0, t.output.LastID != ""
-	e := t.output.readEvents(a, func() {
-		events++
-		onEvent()
-	})
-	// A response that ends with its connection may lack its rest.
-	if x := w.host.Targets.Target(i); e == nil && a.Unframed() && (events == 0 && !resumed || x != nil && w.host.Targets.HasEnded(ctx, x)) {
-		return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target's answer ended with the target after %d events", events)
+	if err := events.CheckHead(a.Header); err != nil {
+		return brokenOff(err)
 	}
-	return e
+	return t.output.readEvents(&itemBody{Response: a, hasEnded: func() bool {
+		x := w.host.Targets.Target(i)
+		return x != nil && w.host.Targets.HasEnded(ctx, x)
+	}}, onEvent)
+}
+
+// errEndedWithTarget reports a response that ended because its target did.
+const errEndedWithTarget = errors.ConstError("the target has ended")
+
+// itemBody is the body of the response to an item. One that ends with its connection is complete
+// only if the target has not ended.
+type itemBody struct {
+	*target.Response
+	hasEnded func() bool
+}
+
+// Read implements io.Reader.
+func (b *itemBody) Read(p []byte) (int, error) {
+	n, err := b.Response.Read(p)
+	if err == io.EOF && b.Unframed() && b.hasEnded() {
+		err = errEndedWithTarget
+	}
+	return n, err
+}
+
+// brokenOff returns the error for a response that is unusable from here on because of err.
+func brokenOff(err error) *rhubarbgate.Error {
+	return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target's answer broke off: %v", err)
 }
 
 // recordBreak records that the target broke off the response to an item.
@@ -214,20 +237,28 @@
 	}
 }
 
-// readEvents appends the events of a response until its complete end, and calls
-// onEvent for each.
+// readEvents appends the events of a response that continues o until its complete end, and calls
+// onEvent for each. After an error, o ends with an event that another attempt can continue after.
 func (o *output) readEvents(a io.Reader, onEvent func()) *rhubarbgate.Error {
-	r := events.NewReader(a)
+	position := events.After(o.LastID)
+	r := events.NewReader(a, &position)
+	resumable := len(o.Text) // length of the text up to the event LastID
 	for {
 		e, err := r.Next()
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target's answer broke off: %v", err)
+			o.Text = o.Text[:resumable]
+			if err == events.ErrNoEvent && o.LastID != "" {
+				// The stream may have broken off behind its last event, so that nothing is left to
+				// continue; or the target lacks the rest. The next attempt shows which.
+				*o = output{StartedOver: true}
+			}
+			return brokenOff(err)
 		}
-		if e.ID == "" && e.Data == nil {
-			continue // a comment, which keeps a stalled stream open and is no output
+		if e.IsComment() {
+			continue // it keeps a stalled stream open and is no output
 		}
 		onEvent()
 		if o.LastID != "" || len(o.Text) > 0 {
@@ -239,8 +270,8 @@
 			*o = output{}
 			return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the item's output has more than %d bytes", maxItemResponseBytes)
 		}
-		if e.ID != "" {
-			o.LastID = e.ID
+		if id, ok := position.Resumable(); ok && id != "" {
+			o.LastID, resumable = id, len(o.Text)
 		}
 	}
 }
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -152,9 +153,12 @@
 
 // TestEndlessOutput guards against an item's output without end that fills the memory.
 func TestEndlessOutput(t *testing.T) {
-	event := "id: 1\ndata: " + strings.Repeat("x", 1<<16) + "\n\n"
+	var stream strings.Builder
+	for i := 1; i <= 64; i++ {
+		fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 1<<16))
+	}
 	var o output
-	err := o.readEvents(strings.NewReader(strings.Repeat(event, 64)), func() {})
+	err := o.readEvents(strings.NewReader(stream.String()), func() {})
 	qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.MayHaveRun)
 	qt.Assert(t, o, qt.DeepEquals, output{})
 }
