side: a completion ends only with its end and a reason for it

A continued completion of the product's own API ended as done with a part of its text when the engine sent an error event and [DONE], [DONE] alone, or an error's head before its events; and with the text of an error and its status when the continuation got another status than 200.

The collector looked for lines that begin with "data: " and passed over all others. It now reads with the reader that all streams pass, fails on what is no event of a completion, and needs a reason to end besides [DONE]. A status that would end the item does not when there was a beginning: the target refused the continuation, not the item, which starts over. Statuses that may pass (429, 5xx) keep the text.

--- a/internal/role/side/resume.go
+++ b/internal/role/side/resume.go
@@ -1,13 +1,16 @@
 package side
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
+	"github.com/juju/errors"
+
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/http/events"
 	"rhubarbgate.example/rhubarbgate/internal/http/openai"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -114,14 +117,23 @@
 		if _, err := b.ReadFrom(a); err != nil {
 			return nil, responseError(ctx, err)
 		}
-		return checkStatus(a.Status, b.Bytes())
+		r, err := checkStatus(a.Status, b.Bytes())
+		if err == nil && t.partial.text != "" {
+			// The target refused the continuation, which is no response to the item. It starts over.
+			t.partial.text, t.partial.tokens = "", 0
+			return nil, rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.Ran, "the target answered a continuation with status %d", a.Status)
+		}
+		return r, err
+	}
+	if err := events.CheckHead(a.Header); err != nil {
+		return nil, responseError(ctx, err)
 	}
 	c := &eventCollector{partial: &t.partial}
 	if err := c.read(a); err != nil {
 		return nil, responseError(ctx, err)
 	}
-	if !c.ended {
-		return nil, rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the stream ended without its last event")
+	if !c.ended || c.finish == nil {
+		return nil, rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the stream ended without its last event or a reason to end")
 	}
 	return &itemResponse{status: http.StatusOK, body: c.response(s)}, nil
 }
@@ -135,33 +147,42 @@
 	ended   bool
 }
 
-var (
-	eventPrefix = []byte("data: ")
-	eventDone   = []byte("[DONE]")
-)
+// eventDone is the data of the event that ends a stream.
+var eventDone = []byte("[DONE]")
 
-func (c *eventCollector) read(a *target.Response) error {
-	in := bufio.NewScanner(a)
-	in.Buffer(make([]byte, 0, frameBytes), maxItemResponseBytes)
-	for in.Scan() {
-		data, ok := bytes.CutPrefix(in.Bytes(), eventPrefix)
-		if !ok {
-			continue
-		}
-		if bytes.Equal(data, eventDone) {
+// read adds the events of a response. After an error, the partial output ends with a whole event.
+func (c *eventCollector) read(a io.Reader) error {
+	r := events.NewReader(a, nil)
+	for {
+		e, err := r.Next()
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		case e.IsComment():
+		case bytes.Equal(e.Data, eventDone):
 			c.ended = true
-			continue
+		default:
+			if err := c.addEvent(e.Data); err != nil {
+				return err
+			}
 		}
-		c.addEvent(data)
 	}
-	return in.Err()
 }
 
-func (c *eventCollector) addEvent(data []byte) {
-	var r openai.Response
-	if json.Unmarshal(data, &r) != nil {
-		return
+func (c *eventCollector) addEvent(data []byte) error {
+	var event struct {
+		openai.Response
+		Error json.RawMessage `json:"error"`
+	}
+	if err := json.Unmarshal(data, &event); err != nil {
+		return errors.Annotate(err, "event")
+	}
+	if len(event.Error) > 0 && !bytes.Equal(event.Error, []byte("null")) {
+		return errors.Errorf("the stream ended with the error %.200s", event.Error)
 	}
+	r := event.Response
 	c.last = r
 	if r.Usage != nil {
 		c.usage = r.Usage
@@ -179,6 +200,7 @@
 			c.partial.tokens++
 		}
 	}
+	return nil
 }
 
 // response builds the body that the item would have received without streaming.
