streams: a connection that carried a wrong stream carries nothing more

Abandon closes it, for entries and sides alike. The earlier counts of kept connections in these tests proved nothing, since each target got one request; those of four requests replace them.

--- a/internal/http/ingress/continuation_test.go
+++ b/internal/http/ingress/continuation_test.go
@@ -162,11 +162,10 @@
 			qt.Check(t, body, qt.Equals, eventsOf(1, 6))
 			qt.Check(t, targets.lastEvents, qt.DeepEquals, []string{"", "3", "3"})
 
-			e, targets = newRawEntry(t, first, bad)
+			e, _ = newRawEntry(t, first, bad)
 			_, body, err = e.send(context.Background(), "resume", "r", secret)
 			qt.Check(t, err, qt.IsNotNil, qt.Commentf("the stream seems complete: %q", body))
 			qt.Check(t, strings.HasPrefix(eventsOf(1, 3), body), qt.IsTrue, qt.Commentf("%q", body))
-			qt.Check(t, targets.kept, qt.Equals, 0)
 		})
 	}
 }
@@ -199,16 +198,23 @@
 				qt.Check(t, err, qt.IsNil, qt.Commentf("continuation, %s", shape))
 				qt.Check(t, body, qt.Equals, eventsOf(1, 6), qt.Commentf("continuation, %s", shape))
 
-				e, targets := newRawEntry(t, bad, stream(eventsOf(6, 6)))
+				e, _ = newRawEntry(t, bad, stream(eventsOf(6, 6)))
 				_, body, err = e.send(context.Background(), "resume", "r", secret)
 				qt.Check(t, err, qt.IsNil, qt.Commentf("first response, %s", shape))
 				qt.Check(t, body, qt.Equals, eventsOf(4, 6), qt.Commentf("first response, %s", shape))
-				qt.Check(t, targets.kept, qt.Equals, 0)
 
 				e, _ = newRawEntry(t, bad)
 				_, body, err = e.send(context.Background(), "stream", "r", secret)
 				qt.Check(t, err, qt.IsNotNil, qt.Commentf("not resumed, %s", shape))
 				qt.Check(t, strings.HasPrefix(eventsOf(4, 5), body), qt.IsTrue, qt.Commentf("not resumed, %s: %q", shape, body))
+
+				e, targets := newRawEntry(t, bad)
+				for n := range 4 {
+					_, _, err = e.send(context.Background(), "resume", fmt.Sprintf("r%d", n), secret)
+					qt.Check(t, err, qt.IsNotNil)
+				}
+				qt.Check(t, len(targets.lastEvents) > 4, qt.IsTrue)
+				qt.Check(t, targets.kept, qt.Equals, 0, qt.Commentf("a connection carried more after this, %s", shape))
 			}
 		})
 	}
@@ -229,6 +235,16 @@
 			status, body, err = e.send(context.Background(), "stream", "r", secret)
 			qt.Check(t, err, qt.IsNil)
 			qt.Check(t, status, qt.Equals, http.StatusBadGateway, qt.Commentf("%q", body))
+
+			// Requests that may be repeated use kept connections, but none that carried this.
+			e, targets := newRawEntry(t, bad)
+			for n := range 4 {
+				status, body, err = e.send(context.Background(), "resume", fmt.Sprintf("r%d", n), secret)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, status, qt.Equals, http.StatusBadGateway, qt.Commentf("%q", body))
+			}
+			qt.Check(t, len(targets.lastEvents) > 4, qt.IsTrue)
+			qt.Check(t, targets.kept, qt.Equals, 0)
 		})
 	}
 	// Comments are passed on at once, and the caller has the head with them.
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -48,6 +48,7 @@
 		first, err = in.Next()
 	}
 	if err != nil {
+		a.response.Abandon()
 		a.finish(true)
 		return a.breakOff(err)
 	}
@@ -61,6 +62,7 @@
 	a.server.Counts.TruncatedResponses.Add(1)
 	e := a.truncationError(err)
 	a.recordBreak(e)
+	a.response.Abandon()
 	a.finish(e.Code == rhubarbgate.CodeUpstream)
 	return e
 }
--- a/internal/http/target/body.go
+++ b/internal/http/target/body.go
@@ -14,6 +14,10 @@
 // maxTrailerBytes bounds the trailer fields after a chunked body.
 const maxTrailerBytes = 4 << 10
 
+// Abandon makes Close close the connection even if the body was read to its end. It is for
+// responses that are not what was asked for: what follows on their connection may not be either.
+func (r *Response) Abandon() { r.reusable = false }
+
 // lengthReader reads a body with a Content-Length.
 type lengthReader struct {
 	r         io.Reader
--- a/internal/role/side/resume.go
+++ b/internal/role/side/resume.go
@@ -130,9 +130,11 @@
 	}
 	c := &eventCollector{partial: &t.partial}
 	if err := c.read(a); err != nil {
+		a.Abandon()
 		return nil, responseError(ctx, err)
 	}
 	if !c.ended || c.finish == nil {
+		a.Abandon()
 		return nil, rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the stream ended without its last event or a reason to end")
 	}
 	return &itemResponse{status: http.StatusOK, body: c.response(s)}, nil
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -143,10 +143,14 @@
 	if err := events.CheckHead(a.Header); err != nil {
 		return brokenOff(err)
 	}
-	return t.output.readEvents(&itemBody{Response: a, hasEnded: func() bool {
+	e := t.output.readEvents(&itemBody{Response: a, hasEnded: func() bool {
 		x := w.host.Targets.Target(i)
 		return x != nil && w.host.Targets.HasEnded(ctx, x)
 	}}, onEvent)
+	if e != nil {
+		a.Abandon()
+	}
+	return e
 }
 
 // errEndedWithTarget reports a response that ended because its target did.
