jobs: an item that ends targets waits longer after each end

A batch item whose own content ends the targets that run it was run on one after the other until its retention ended.

Cause: a side returns the lease of an item whose target broke off, as it does for a preempted one, and the item is leased again at once. The job's group saw no difference between the two, and blocks of prompts look only at parts that requests share.

Change: the return of a lease says that the target ended before it had answered (Return.TargetEnded). Nothing is given up for it. An answer clears the item. If targets end with any items of a job at two moments without an answer to any of it, its items are tried one at a time, with waits that grow in the same way.

Why it works: a lease is exclusive, and all leases of an item come from its group, so the wait holds for the whole fleet.

TestItemThatCrashesTargets, with -race: failed before; passed after in 3 runs of 3.

--- a/internal/controller/batch/dispatcher.go
+++ b/internal/controller/batch/dispatcher.go
@@ -64,11 +64,12 @@
 	for _, need := range needs {
 		needed[need] = true
 	}
+	now := d.Clock.Now()
+	d.Machine.Advance(now)
 	pending := d.Machine.PendingJobs(needed, d.Weight)
 	for i := range pending {
 		pending[i].ItemsPerSecond = d.completionRate
 	}
-	now := d.Clock.Now()
 	var refs []jobs.ItemRef
 	for len(refs) < n && len(pending) > 0 {
 		i := d.Order.Next(now, pending)
--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -66,6 +66,9 @@
 	return true
 }
 
+// IsAnswer reports whether the response has gone on for long enough to count as an answer.
+func (p *Progress) IsAnswer(now time.Time) bool { return p.Answering(now) >= soundAfter }
+
 // Answering returns how long ago the first event came, 0 if none came.
 func (p *Progress) Answering(now time.Time) time.Duration {
 	if p.firstAt.IsZero() {
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -163,6 +163,7 @@
 	h.transport = &peer.Transport{Client: h.wire, Clock: h.Clock, Dropped: new(expvar.Int)}
 	h.Metrics.Set("PeerMessagesDropped", h.transport.Dropped)
 	h.Metrics.Set("LeasesWatched", expvar.Func(func() any { return h.leaseCount() }))
+	h.Metrics.Set("ItemsWaiting", expvar.Func(func() any { return h.waitingCount() }))
 	if len(h.Seeds) > 0 {
 		h.client = &control.Client{Wire: h.wire, Hosts: h.Seeds, Clock: h.Clock}
 	}
@@ -407,6 +408,18 @@
 	return n
 }
 
+// waitingCount returns the number of items that wait, in the groups that this host leads, because
+// targets ended with them.
+func (h *Host) waitingCount() int {
+	n := 0
+	for _, l := range h.jobGroups {
+		if l.leads() {
+			n += l.machine.Jobs.Waiting()
+		}
+	}
+	return n
+}
+
 func (h *Host) retention() time.Duration {
 	if h.Retention > 0 {
 		return h.Retention
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -111,7 +111,7 @@
 }
 
 type counters struct {
-	online, batch, preempted, refusedNotRun, lateResults, lostLeases, panics *expvar.Int
+	online, batch, preempted, refusedNotRun, lateResults, lostLeases, panics, itemsAtEnds *expvar.Int
 	// slowestPreemption is the longest time that a preempted item took to stop, in
 	// microseconds.
 	slowestPreemption *expvar.Int
@@ -130,7 +130,8 @@
 	}
 	return counters{
 		online: counter("OnlineRequests"), batch: counter("BatchAttempts"), preempted: counter("Preemptions"),
-		refusedNotRun: counter("RefusedNotRun"), lateResults: counter("ResultsTooLate"), lostLeases: counter("LeasesLost"), panics: counter("Panics"), slowestPreemption: counter("SlowestYieldMicroseconds"),
+		refusedNotRun: counter("RefusedNotRun"), lateResults: counter("ResultsTooLate"), lostLeases: counter("LeasesLost"), panics: counter("Panics"),
+		itemsAtEnds: counter("ItemsAtTargetEnds"), slowestPreemption: counter("SlowestYieldMicroseconds"),
 	}
 }
 
--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -80,7 +80,7 @@
 func (w *worker) logItem(t *task, text string, more ...log.Fields) {
 	f := log.Fields{
 		"job": t.grant.Ref.Job, "index": t.grant.Ref.Index, "attempt": t.grant.Ref.Attempt,
-		"due": t.grant.Due.Sub(w.clock.Now()).Round(time.Millisecond).String(), "lastEvent": t.output.LastID,
+		"due": t.grant.Due.Sub(w.clock.Now()).Round(time.Millisecond).String(), "lastEvent": t.output.LastID, "targetEnds": t.grant.TargetEnds,
 	}
 	for _, m := range more {
 		for k, v := range m {
@@ -109,12 +109,15 @@
 // far. The caller holds w.mu.
 func (w *worker) returnItem(t *task) {
 	delete(w.leased, t.grant.Ref)
-	w.logItem(t, "item returned")
+	w.logItem(t, "item returned", log.Fields{"targetEnded": t.targetEnded})
 	w.tasks.Go(func() {
 		call, cancel := context.WithTimeout(context.Background(), returnTimeout)
 		defer cancel()
 		// If the return is lost, the item stays leased until the lease expires.
 		ret := &jobs.Return{Items: []jobs.ItemRef{t.grant.Ref}, Progress: [][]byte{t.output.encode()}}
+		if t.targetEnded {
+			ret.TargetEnded = []bool{true}
+		}
 		_, _ = w.host.control.Jobs(call, t.group, jobs.Command{Return: ret})
 	})
 }
@@ -122,6 +125,10 @@
 // returnItemLater returns an item whose attempt failed because of the target. The
 // delay prevents a tight retry loop against a failing target.
 func (w *worker) returnItemLater(ctx context.Context, t *task) {
+	if t.brokenOffBy != nil && w.host.Targets.HasEnded(context.WithoutCancel(ctx), t.brokenOffBy) {
+		t.targetEnded = true
+		w.host.counts.itemsAtEnds.Add(1)
+	}
 	select {
 	case <-ctx.Done():
 	case <-w.clock.After(max(failedAttemptDelay, t.returnDelay)):
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -111,7 +111,7 @@
 	stallTimer := w.clock.AfterFunc(itemStallTimeout, func() { cancel(errStalled) })
 	defer stallTimer.Stop()
 	var progress crashes.Progress
-	resumed := t.output.LastID != ""
+	lastID := t.output.LastID
 	e := w.exchange(ctx, t, q, i, func() {
 		if progress.Event(w.clock.Now()) {
 			h.crashes.RecordAnswer(i.Service, parts)
@@ -120,7 +120,10 @@
 	})
 	if e != nil && e.Code == rhubarbgate.CodeUpstream && e.Verdict == rhubarbgate.MayHaveRun && ctx.Err() == nil {
 		now := w.clock.Now()
-		w.recordBreak(t, i, crashes.Break{Parts: parts, At: now, Answering: progress.Answering(now), Resumed: resumed, Cause: e.Message})
+		w.recordBreak(t, i, crashes.Break{Parts: parts, At: now, Answering: progress.Answering(now), Resumed: lastID != "", Cause: e.Message})
+		if !progress.IsAnswer(now) || t.output.LastID == lastID {
+			t.brokenOffBy = w.host.Targets.Target(i)
+		}
 	}
 	if e == nil {
 		h.crashes.RecordAnswer(i.Service, parts)
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -82,6 +83,10 @@
 	// returnDelay is how long the item is kept before its lease is returned, if that is longer
 	// than failedAttemptDelay.
 	returnDelay time.Duration
+	// brokenOffBy is the target that broke off the last attempt before it had answered, if any,
+	// and targetEnded says that it has ended.
+	brokenOffBy *discovery.Target
+	targetEnded bool
 }
 
 type groupOutcome struct {
--- a/internal/state/jobs/command.go
+++ b/internal/state/jobs/command.go
@@ -201,6 +201,9 @@
 	// Progress is the partial output of the attempts, in the order of Items. It may
 	// be shorter than Items.
 	Progress [][]byte `msgpack:",omitempty"`
+	// TargetEnded says, in the order of Items, at which attempts the target ended before it had
+	// answered the item. It may be shorter than Items.
+	TargetEnded []bool `msgpack:",omitempty"`
 }
 
 // Complete records the outcomes of attempts.
@@ -235,6 +238,8 @@
 	Line       []byte
 	// Progress is the partial output of an earlier attempt.
 	Progress []byte `msgpack:",omitempty"`
+	// TargetEnds is how many targets have ended with the item since one last answered it.
+	TargetEnds int `msgpack:",omitempty"`
 }
 
 // File is the description of an uploaded file.
--- a/internal/state/jobs/items.go
+++ b/internal/state/jobs/items.go
@@ -43,9 +43,12 @@
 		j.Counts.Leased++
 		in := j.inputFile.inputs[ref.Index]
 		j.pending[in.needs]--
+		if k := slices.Index(j.waiting[in.needs], int32(ref.Index)); k >= 0 {
+			j.waiting[in.needs] = slices.Delete(j.waiting[in.needs], k, k+1)
+		}
 		r.Granted = append(r.Granted, Grant{
 			Ref: ref, Workspace: j.Workspace, Needs: j.inputFile.needs[in.needs], Idempotent: in.idempotent, Due: j.Due,
-			Progress: j.progress[int32(ref.Index)],
+			Progress: j.progress[int32(ref.Index)], TargetEnds: int(j.ends[int32(ref.Index)].Count),
 		})
 	}
 	return r
@@ -100,13 +103,23 @@
 }
 
 // returnItems makes leased items pending again and keeps their partial output.
-func (m *Machine) returnItems(c *Return) *Result {
+func (m *Machine) returnItems(at time.Time, c *Return) *Result {
 	r := &Result{Accepted: make([]bool, len(c.Items))}
 	for i, ref := range c.Items {
 		if j, x := m.leasedItem(ref); x != nil {
 			r.Accepted[i] = true
-			if i < len(c.Progress) && len(c.Progress[i]) > 0 {
-				j.saveProgress(ref.Index, c.Progress[i])
+			var progress []byte
+			if i < len(c.Progress) {
+				progress = c.Progress[i]
+			}
+			switch {
+			case i < len(c.TargetEnded) && c.TargetEnded[i]:
+				j.recordEnd(ref.Index, at)
+			case len(progress) > len(j.progress[int32(ref.Index)]):
+				j.recordAnswer(ref.Index)
+			}
+			if len(progress) > 0 {
+				j.saveProgress(ref.Index, progress)
 			}
 			m.requeue(j, ref.Index)
 		}
@@ -138,7 +151,12 @@
 // enqueue inserts pending item i into the queue for need n, after all items with
 // more partial output. The nearly finished items are leased first and can end
 // before the deadline; capacity shared evenly among all items would make all late.
+// An item with which targets ended is not queued but waits.
 func (j *job) enqueue(n uint16, i int32) {
+	if j.ends[i].delay() > 0 {
+		j.waiting[n] = append(j.waiting[n], i)
+		return
+	}
 	size := len(j.progress[i])
 	if size == 0 {
 		j.queues[n] = append(j.queues[n], i)
@@ -158,6 +176,7 @@
 		}
 		r.Accepted[i] = true
 		if outcome.OK {
+			j.recordAnswer(outcome.Ref.Index)
 			m.finishItem(j, outcome.Ref.Index, Done, outcome.Output)
 		} else {
 			m.failAttempt(j, outcome)
@@ -182,6 +201,9 @@
 	if counted || o.Permanent {
 		x.failures++
 	}
+	if o.Verdict == rhubarbgate.Ran {
+		j.recordAnswer(o.Ref.Index)
+	}
 	if mayRetry && !o.Permanent && int(x.failures) < limit {
 		m.requeue(j, o.Ref.Index)
 		return
@@ -205,7 +227,7 @@
 func (j *job) completeIfFinished(at time.Time) {
 	if j.unfinished == 0 && j.State == Running {
 		j.State, j.Ended = Completed, at
-		j.queues, j.pending = nil, nil
+		j.queues, j.waiting, j.pending = nil, nil, nil
 	}
 }
 
--- a/internal/state/jobs/machine.go
+++ b/internal/state/jobs/machine.go
@@ -35,6 +35,9 @@
 	// terminal counts all items that became terminal, including those of removed
 	// jobs. Snapshots keep it.
 	terminal uint64
+	// now is the time that Advance was last called with, and triedAt when an item that had waited
+	// was last chosen.
+	now, triedAt time.Time
 }
 
 // file is an uploaded file, or the items of a job created by Submit.
@@ -75,6 +78,14 @@
 	progress map[int32][]byte
 	// holders maps leased items to the sides that hold them. Snapshots leave it out.
 	holders map[int32]string
+	// ends counts the ends of targets with each item, and streak the moments of those with any
+	// item of the job, in both cases since a target last answered.
+	ends   map[int32]targetEnds
+	streak targetEnds
+	// waiting holds the pending items by need that are in no queue because targets ended with
+	// them, and triedAt is when an item was last chosen. They exist only on the leader.
+	waiting map[uint16][]int32
+	triedAt time.Time
 }
 
 // item is the state of one input line.
@@ -137,7 +148,7 @@
 	case c.Start != nil:
 		return m.start(c.Start)
 	case c.Return != nil:
-		return m.returnItems(c.Return)
+		return m.returnItems(c.At, c.Return)
 	case c.Complete != nil:
 		return m.complete(c.At, c.Complete)
 	case c.Expire != nil:
@@ -219,7 +230,7 @@
 
 // buildQueues rebuilds the queues of pending items.
 func (j *job) buildQueues() {
-	j.queues = map[uint16][]int32{}
+	j.queues, j.waiting = map[uint16][]int32{}, map[uint16][]int32{}
 	for i := range j.items {
 		if j.items[i].state == Pending && j.State == Running {
 			n := j.inputFile.inputs[i].needs
@@ -275,7 +286,7 @@
 		}
 	}
 	j.State, j.Ended = JobCancelled, at
-	j.queues, j.pending = nil, nil
+	j.queues, j.waiting, j.pending = nil, nil, nil
 	return m.jobResult(c.Job)
 }
 
@@ -292,6 +303,7 @@
 	m.terminal++
 	delete(j.progress, int32(i))
 	delete(j.holders, int32(i))
+	delete(j.ends, int32(i))
 	switch s {
 	case Done:
 		j.Counts.Done++
--- a/internal/state/jobs/query.go
+++ b/internal/state/jobs/query.go
@@ -148,8 +148,8 @@
 }
 
 // PendingJobs returns the running jobs that have pending items for one of needs,
-// ordered by ID. Pending counts only those items; weight returns the share of a
-// workspace.
+// ordered by ID. Pending counts only those items that may be leased now, of a job on trial one at
+// most; weight returns the share of a workspace.
 func (m *Machine) PendingJobs(needs map[string]bool, weight func(string) float64) []rhubarbgate.PendingJob {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -158,12 +158,18 @@
 		count := 0
 		for need, pending := range j.pending {
 			if needs[j.inputFile.needs[need]] {
-				count += pending
+				count += pending - len(j.waiting[need])
+				if m.findTrial(j, need) >= 0 {
+					count++
+				}
 			}
 		}
-		if j.State != Running || count == 0 {
+		if j.State != Running || count <= 0 || j.isPaused(m.now) {
 			continue
 		}
+		if j.streak.delay() > 0 {
+			count = 1
+		}
 		r = append(r, rhubarbgate.PendingJob{
 			Job: j.ID, Workspace: j.Workspace, Weight: weight(j.Workspace),
 			Due: j.Due, Created: j.Created, Pending: count, Remaining: j.unfinished,
@@ -185,17 +191,32 @@
 	}
 	for need := range j.inputFile.needs {
 		key := uint16(need)
-		for needs[j.inputFile.needs[need]] && len(j.queues[key]) > 0 {
+		if !needs[j.inputFile.needs[need]] {
+			continue
+		}
+		if k := m.findTrial(j, key); k >= 0 {
+			i := j.waiting[key][k]
+			j.waiting[key] = slices.Delete(j.waiting[key], k, k+1)
+			m.triedAt = m.now
+			return m.choose(j, i), true
+		}
+		for len(j.queues[key]) > 0 {
 			i := j.queues[key][0]
 			j.queues[key] = j.queues[key][1:]
-			if j.items[i].state == Pending {
-				return ItemRef{Job: id, Index: int(i), Attempt: int(j.items[i].attempts) + 1}, true
+			if j.items[i].state == Pending && j.ends[i].delay() == 0 {
+				return m.choose(j, i), true
 			}
 		}
 	}
 	return ItemRef{}, false
 }
 
+// choose returns the next attempt of item i. The lock is held.
+func (m *Machine) choose(j *job, i int32) ItemRef {
+	j.triedAt = m.now
+	return ItemRef{Job: j.ID, Index: int(i), Attempt: int(j.items[i].attempts) + 1}
+}
+
 // Requeue puts items that Next returned and that were not leased back into the queues.
 func (m *Machine) Requeue(refs []ItemRef) {
 	m.mu.Lock()
@@ -230,7 +251,7 @@
 	defer m.mu.Unlock()
 	m.leasing = false
 	for _, j := range m.jobs {
-		j.queues = nil
+		j.queues, j.waiting = nil, nil
 	}
 }
 
--- a/internal/state/jobs/snapshot.go
+++ b/internal/state/jobs/snapshot.go
@@ -45,6 +45,15 @@
 	Job     Job
 	Items   int
 	Results []int32
+	// Ends are the ends of targets with items, ordered by item.
+	Ends   []itemEnds  `msgpack:",omitempty"`
+	Streak *targetEnds `msgpack:",omitempty"`
+}
+
+// itemEnds are the ends of targets with one item.
+type itemEnds struct {
+	Index int32
+	Ends  targetEnds
 }
 
 const (
@@ -77,7 +86,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		j := *m.jobs[id]
-		j.items, j.results = slices.Clone(j.items), slices.Clone(j.results)
+		j.items, j.results, j.ends = slices.Clone(j.items), slices.Clone(j.results), maps.Clone(j.ends)
 		w.jobs = append(w.jobs, &j)
 	}
 	w.header.Files, w.header.Jobs = len(w.files), len(w.jobs)
@@ -138,7 +147,14 @@
 }
 
 func writeJob(out io.Writer, j *job) error {
-	if err := writeRecord(out, &jobRecord{Job: j.Job, Items: len(j.items), Results: j.results}); err != nil {
+	d := &jobRecord{Job: j.Job, Items: len(j.items), Results: j.results}
+	for _, i := range slices.Sorted(maps.Keys(j.ends)) {
+		d.Ends = append(d.Ends, itemEnds{i, j.ends[i]})
+	}
+	if j.streak.Count > 0 {
+		d.Streak = &j.streak
+	}
+	if err := writeRecord(out, d); err != nil {
 		return errors.Trace(err)
 	}
 	for _, x := range j.items {
@@ -303,6 +319,15 @@
 		}
 		j.items = append(j.items, x)
 	}
+	for _, e := range d.Ends {
+		if e.Index < 0 || int(e.Index) >= d.Items {
+			return nil, errors.NotValidf("ends of targets with item %d of job %q", e.Index, d.Job.ID)
+		}
+		j.saveEnds(e.Index, e.Ends)
+	}
+	if d.Streak != nil {
+		j.streak = *d.Streak
+	}
 	j.checkCounts()
 	j.countPending()
 	return j, nil
