--- a/internal/command/rhubarbgate/soak.go
+++ b/internal/command/rhubarbgate/soak.go
@@ -19,7 +19,7 @@
 	var duration time.Duration
 	var size, injectors int
 	var crashingItem bool
-	var dir string
+	var dir, binary string
 	c := &cobra.Command{
 		Use:   "soak",
 		Short: "Runs a fleet of processes on loopback, injects random faults and checks what callers and targets receive",
@@ -33,10 +33,13 @@
 	f.BoolVar(&crashingItem, "crashing-item", false, "a batch item crashes targets, in place of requests with one part in their prompts")
 	f.IntVar(&injectors, "injectors", 0, "series of faults injected at the same time; 0 means 2")
 	f.StringVar(&dir, "dir", "", "folder for data and logs; empty means a temporary one; each seed's subfolder is removed if its checks pass, and if all checks pass, the whole folder is removed with everything in it")
+	f.StringVar(&binary, "binary", "", "program whose processes the fleet runs, such as an earlier build; empty means this one")
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		binary, err := os.Executable()
-		if err != nil {
-			return errors.Trace(err)
+		var err error
+		if binary == "" {
+			if binary, err = os.Executable(); err != nil {
+				return errors.Trace(err)
+			}
 		}
 		if dir == "" {
 			if dir, err = os.MkdirTemp("", "rhubarbgate-soak"); err != nil {
