soak: check truncated responses, whose they are, and processes that end by themselves

A response was compared with its request only if it was complete and had status 200. A process that exits without having been told to is a violation; before, only its consequences could be noticed.

--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// verifyProcesses checks that no process ended by itself.
+func (s *Soak) verifyProcesses() {
+	for _, p := range s.processes() {
+		p.mu.Lock()
+		failures := p.failures
+		p.mu.Unlock()
+		if failures > 0 {
+			s.history.addViolation("%s ended by itself %d times", p.name, failures)
+		}
+	}
+}
+
 // verifyRequest checks one request. Only the routes safe and resume allow a request to
 // run more than once, or to run although the response says that it did not.
 func (h *history) verifyRequest(req *sentRequest, runs []platformtest.Run) {
@@ -133,6 +145,11 @@
 	}
 	if want := responseBody(req.route, req.id); req.response.Err == nil && req.response.Status == 200 && req.response.Body != want {
 		h.addViolation("%s got %q as a whole answer instead of %q", name, req.response.Body, want)
+	} else if req.response.Status == 200 && !strings.HasPrefix(want, req.response.Body) {
+		h.addViolation("%s got %q before its answer broke off, which is no part of %q", name, req.response.Body, want)
+	}
+	if req.response.ID != "" && req.response.ID != req.id || req.response.Status == 200 && req.response.Stamp != "stamp-"+req.id {
+		h.addViolation("%s got the answer to request %q with the signature %q", name, req.response.ID, req.response.Stamp)
 	}
 	// A fault of the target may end a stream that cannot be resumed, also without a stop.
 	noTargetFault := !slices.ContainsFunc(runs, func(r platformtest.Run) bool { return r.Fault != platformtest.None })
--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -35,6 +35,9 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// ending says that the process was told to end, failures how often it ended by itself.
+	ending   bool
+	failures int
 }
 
 // start starts the program. Its output is appended to the log file.
@@ -52,11 +55,16 @@
 		return errors.Trace(err)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited = c, exited
+	p.cmd, p.exited, p.ending = c, exited, false
 	go func() {
 		// The exit status is not checked: kill and stop cause most exits.
 		_ = c.Wait()
 		out.Close()
+		p.mu.Lock()
+		if !p.ending {
+			p.failures++
+		}
+		p.mu.Unlock()
 		close(exited)
 	}()
 	return nil
@@ -71,6 +79,7 @@
 		return
 	default:
 	}
+	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	// An error means that the process has just exited.
 	_ = p.cmd.Process.Signal(s)
 }
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -156,6 +156,7 @@
 	s.awaitRecovery(ctx)
 	s.history.verify(s.targets)
 	s.verifyLimits()
+	s.verifyProcesses()
 	crashes, late := s.verifyCrashes()
 	r := s.report()
 	r.Crashes, r.LateCrashingRuns = crashes, late
