soak: targets write responses out of turn

Targets write a response ahead of the one to a request on a kept connection, or just after one, once or twice, in periods and at rates drawn for each target: statuses 503, 429, 408 and 421 with the promise that nothing ran, 503 and 429 without it, 500, 422, complete texts and streams; with the ID of the request or item that the connection carried before, of a request of another connection, or none. Connections of load reports get them too. The checks are unchanged.

--- a/cmd/rhubarbgate/soak_test.go
+++ b/cmd/rhubarbgate/soak_test.go
@@ -14,6 +14,7 @@
 	seed, cause string
 }{
 	{"1", "an item at a silent target kept its lease for ever; a stream cut at its own deadline counted as cut by a stop"},
+	{"202", "a refusal that a target wrote once more on a kept connection counted as the response to the next request"},
 }
 
 // TestSoakSeeds runs the soak command with the seeds that have failed. It guards
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -101,18 +101,22 @@
 	// faulted holds the processes that an injector is dealing with.
 	faulted    map[*process]bool
 	faultCount int
+	// strayCount counts the responses that targets sent out of turn.
+	strayCount atomic.Int64
 	// disturbances are the times in which processes were stopped, frozen or restarting.
 	disturbances []*disturbance
 }
 
 // Report is the outcome of a run: how many requests were sent and served, how many jobs
 // were accepted, how many of their items are done, how many faults were injected, how often
-// requests crashed a target, and how many such requests should not have reached one any more.
+// requests crashed a target, how many such requests should not have reached one any more, and how
+// many responses targets sent out of turn.
 type Report struct {
 	Seed                         uint64
 	Requests, Served, Jobs, Done int
 	Faults                       int
 	Crashes, LateCrashingRuns    int
+	Strays                       int64
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -218,7 +222,7 @@
 
 // report counts what the history holds.
 func (s *Soak) report() *Report {
-	r := &Report{Seed: s.Seed, Requests: len(s.history.requests), Faults: s.faultCount, Broken: s.history.violations}
+	r := &Report{Seed: s.Seed, Requests: len(s.history.requests), Faults: s.faultCount, Strays: s.strayCount.Load(), Broken: s.history.violations}
 	for _, req := range s.history.requests {
 		if req.response.Err == nil && req.response.Status == 200 {
 			r.Served++
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -63,6 +63,8 @@
 		Events: streamEvents, Pace: eventInterval, PlainPrefixes: []string{"/safe/", "/unsafe/"},
 		CrashPart: crashPart, CrashItem: crashItem, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
 	}
+	behaviour := rand.New(rand.NewPCG(s.Seed, uint64(3000+len(s.targets))))
+	t.Stray = s.newStrays(behaviour)
 	// The target calls Fault while it holds its lock, so random needs no lock of its own.
 	t.Fault = func(id string, attempt int) platformtest.Fault {
 		if strings.HasPrefix(id, unrunnablePrefix) {
