soak: targets that ran a request respond with statuses that promise the opposite

A target runs a request and responds with status 500, 503, 429 or 408, drawn for each target, without stating that nothing ran. Callers must not see such a status for a request that may not be repeated; the check for that is unchanged and covers 503, 429, 408 and 421.

--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -53,7 +53,16 @@
 	return nil
 }
 
-// startTarget starts the emulated target of side i. About 6% of the first two attempts
+// faults are the faults of which targets choose.
+var faults = []platformtest.Fault{
+	platformtest.Shed, platformtest.CutStream, platformtest.OtherRequestID, platformtest.DropConnection, platformtest.Hang, platformtest.Fail,
+}
+
+// failStatuses are statuses of targets that ran a request. Callers take the last three for the
+// promise that it did not run, which the targets do not state.
+var failStatuses = []int{500, 503, 429, 408}
+
+// startTarget starts the emulated target of side i. About 7% of the first two attempts
 // of each request at this target get a random fault; items with unrunnablePrefix always
 // get status 422.
 func (s *Soak) startTarget(i int) (*platformtest.Target, error) {
@@ -64,16 +73,16 @@
 		CrashPart: crashPart, CrashItem: crashItem, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
 	}
 	behaviour := rand.New(rand.NewPCG(s.Seed, uint64(3000+len(s.targets))))
-	t.Stray = s.newStrays(behaviour)
+	t.FailStatus, t.Stray = failStatuses[behaviour.IntN(len(failStatuses))], s.newStrays(behaviour)
 	// The target calls Fault while it holds its lock, so random needs no lock of its own.
 	t.Fault = func(id string, attempt int) platformtest.Fault {
 		if strings.HasPrefix(id, unrunnablePrefix) {
 			return platformtest.Unprocessable
 		}
-		if attempt > 2 || random.IntN(100) >= 6 {
+		if attempt > 2 || random.IntN(100) >= 7 {
 			return platformtest.None
 		}
-		return []platformtest.Fault{platformtest.Shed, platformtest.CutStream, platformtest.OtherRequestID, platformtest.DropConnection, platformtest.Hang}[random.IntN(5)]
+		return faults[random.IntN(len(faults))]
 	}
 	s.targets = append(s.targets, t)
 	return t, t.Start()
