soak: targets continue streams wrongly

For 3 of 100 requests and items, chosen by the seed, all targets break off the stream and respond to the request that resumes it with an error, its text in place of events, events that were there, a missing event, or an end without events. One choice for all targets makes the wrong continuation meet a stream that broke off. The checks are unchanged.

--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 
@@ -62,8 +63,26 @@
 // promise that it did not run, which the targets do not state.
 var failStatuses = []int{500, 503, 429, 408}
 
-// startTarget starts the emulated target of side i. About 7% of the first two attempts
-// of each request at this target get a random fault; items with unrunnablePrefix always
+// resumeFaults are the faults of requests that resume a stream.
+var resumeFaults = []platformtest.Fault{
+	platformtest.ResumeError, platformtest.ResumePlainText, platformtest.ResumeRepeat, platformtest.ResumeSkip, platformtest.ResumeEmpty,
+}
+
+// resumeFaultPercent is the share of requests and items that all targets mishandle with the same one of the
+// resumeFaults, so that a stream that one target cut is continued wrongly at the next.
+const resumeFaultPercent = 3
+
+// resumeFault returns the fault of all targets for a request, None for most.
+func (s *Soak) resumeFault(id string) platformtest.Fault {
+	random := rand.New(rand.NewPCG(s.Seed, xxhash.Sum64String(id)))
+	if random.IntN(100) >= resumeFaultPercent {
+		return platformtest.None
+	}
+	return resumeFaults[random.IntN(len(resumeFaults))]
+}
+
+// startTarget starts the emulated target of side i. About 10% of the first two attempts
+// of each request at this target get a random fault or a resumeFault; items with unrunnablePrefix always
 // get status 422.
 func (s *Soak) startTarget(i int) (*platformtest.Target, error) {
 	random := rand.New(rand.NewPCG(s.Seed, uint64(1000+len(s.targets))))
@@ -79,7 +98,13 @@
 		if strings.HasPrefix(id, unrunnablePrefix) {
 			return platformtest.Unprocessable
 		}
-		if attempt > 2 || random.IntN(100) >= 7 {
+		if attempt > 2 {
+			return platformtest.None
+		}
+		if f := s.resumeFault(id); f != platformtest.None {
+			return f
+		}
+		if random.IntN(100) >= 7 {
 			return platformtest.None
 		}
 		return faults[random.IntN(len(faults))]
