soak: responses out of turn also arrive within the next response

A response that follows another one is written up to 5 ms later, so that it comes while the connection is idle, ahead of the next response or within it. In the last case the caller may get a truncated response or a 502; the checks allow no more, and are unchanged.

--- a/internal/soak/fleet/strays.go
+++ b/internal/soak/fleet/strays.go
@@ -13,6 +13,8 @@
 	// does so in periods of up to maxStrayPeriod, which alternate at random with quiet ones.
 	maxStrayPercent = 40
 	maxStrayPeriod  = 3 * time.Second
+	// maxStrayDelay bounds the time after a response at which one out of turn follows it.
+	maxStrayDelay = 5 * time.Millisecond
 	// strayHistory is how many requests a target gets before it may respond once more to one of another connection.
 	strayHistory = 32
 )
@@ -75,6 +77,6 @@
 		if random.IntN(4) == 0 {
 			raw += raw
 		}
-		return platformtest.Stray{Raw: raw, After: after}
+		return platformtest.Stray{Raw: raw, After: after, Delay: time.Duration(random.Int64N(int64(maxStrayDelay)))}
 	}
 }
