soak: odd entries in the list of targets, and whether it is followed

Up to four odd entries at a time are added to the list and removed, every two seconds or sooner, first in the list or between the targets; four stay when the load ends. They name a target that nothing else lists, which must run no request. At the end a target is listed as draining: 3 s later no entry may send it a request, so that entries that stopped following the list are found.

--- a/cmd/rhubarbgate/soak_test.go
+++ b/cmd/rhubarbgate/soak_test.go
@@ -16,6 +16,7 @@
 	{"1", "an item at a silent target kept its lease for ever; a stream cut at its own deadline counted as cut by a stop"},
 	{"202", "a refusal that a target wrote once more on a kept connection counted as the response to the next request"},
 	{"222", "a target's response that did not continue a stream became a part of it"},
+	{"233", "an odd entry of the list hid the others, so that an entry went on to use a target that was draining"},
 	{"403", "an emulated target wrote a response out of turn before the response to the same request"},
 	{"407", "an emulated target responded to a request with another ID, then refused it with its own"},
 }
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -217,6 +218,28 @@
 	return len(crashes), late
 }
 
+// drainRequests is how many requests verifyDrain sends to each entry.
+const drainRequests = 5
+
+// verifyDrain checks that the entries still follow the list, which may have odd entries: a target
+// that the list shows as draining gets no more requests.
+func (s *Soak) verifyDrain(ctx context.Context) {
+	t := s.targets[0]
+	t.SetDraining(true)
+	s.Clock.Sleep(noticeTime)
+	noticed := s.Clock.Now()
+	for i, p := range s.entries {
+		for n := range drainRequests {
+			s.send(ctx, i, "safe", fmt.Sprintf("drain-%d-%d", i, n), "one", "key-one-a", callerTimeout)
+		}
+		for _, r := range t.Runs() {
+			if strings.HasPrefix(r.ID, fmt.Sprintf("drain-%d-", i)) {
+				s.history.addViolation("request %s of %s ran at target %s, which was listed as draining %v before", r.ID, p.name, r.Instance, r.At.Sub(noticed)+noticeTime)
+			}
+		}
+	}
+}
+
 // limitWindow is the time over which the requests that a limited target gets are counted.
 const limitWindow = 4 * time.Second
 
--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
 )
 
 // injectFaults runs the injectors for the duration of the run.
@@ -180,6 +183,32 @@
 	t.SetLimit("")
 }
 
+// changeOddEntries adds odd entries to the list of targets and removes them until ctx is done. Then
+// it adds maxOddEntries, which stay.
+func (s *Soak) changeOddEntries(ctx context.Context, random *rand.Rand) {
+	odd := platformtest.OddEntries(s.unlisted.Instance, s.unlisted.Service, s.unlisted.Address())
+	for {
+		n, last := random.IntN(maxOddEntries+1), ctx.Err() != nil
+		if last {
+			n = maxOddEntries
+		}
+		var extra []json.RawMessage
+		for range n {
+			e := odd[random.IntN(len(odd))]
+			s.Logger.WithField("entry", e.Name).Info("listing an odd entry")
+			extra = append(extra, e.Raw)
+		}
+		s.targetList.SetExtra(extra)
+		if last {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.Clock.After(time.Duration(random.Int64N(int64(maxOddPeriod)))):
+		}
+	}
+}
+
 // changeKeys commits a configuration with a version that is higher by step. The first call
 // withdraws a key of workspace one; later ones only raise the version.
 func (s *Soak) changeKeys(ctx context.Context, step uint64) {
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -55,6 +55,9 @@
 	subjectParts        = 20
 	// targetLimit is the rate that a target states while it has a limit.
 	targetLimit = 4.0
+	// maxOddEntries and maxOddPeriod bound how many odd entries the list has at a time, and for how long.
+	maxOddEntries = 4
+	maxOddPeriod  = 2 * time.Second
 	// crashItem is the item that crashes targets if Soak.CrashingItem is set.
 	crashItem = "crash-item"
 	// defaultInjectors is the default of Soak.Injectors.
@@ -79,10 +82,12 @@
 	Clock        clockwork.Clock
 	Logger       log.Interface
 
-	client       *platformtest.Client
-	history      history
-	targetList   platformtest.List
-	targets      []*platformtest.Target // all that were started
+	client     *platformtest.Client
+	history    history
+	targetList platformtest.List
+	targets    []*platformtest.Target // all that were started
+	// unlisted is a target that only odd entries of the list name.
+	unlisted     *platformtest.Target
 	controlHosts []*process
 	storeHosts   []*process
 	entries      []*process
@@ -151,6 +156,8 @@
 	} else {
 		tasks.Go(func() { s.sendCrashingRequests(loadCtx, crashing) })
 	}
+	oddities := rand.New(rand.NewPCG(s.Seed, 97))
+	tasks.Go(func() { s.changeOddEntries(loadCtx, oddities) })
 	s.injectFaults(ctx)
 	stopLoad()
 	tasks.Wait()
@@ -158,7 +165,11 @@
 		return nil, errors.Annotatef(err, "seed %d", s.Seed)
 	}
 	s.awaitRecovery(ctx)
+	s.verifyDrain(ctx)
 	s.history.verify(s.targets)
+	for _, r := range s.unlisted.Runs() {
+		s.history.addViolation("request %s ran at a target that only odd entries of the list name", r.ID)
+	}
 	s.verifyLimits()
 	s.verifyProcesses()
 	crashes, late := s.verifyCrashes()
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -18,6 +18,7 @@
 
 // startAll starts the target list, the targets and all processes.
 func (s *Soak) startAll() error {
+	s.targetList.Interleave = s.Seed%2 == 0
 	if err := s.targetList.Start(); err != nil {
 		return errors.Trace(err)
 	}
@@ -45,6 +46,10 @@
 		}
 		s.sides = append(s.sides, l.side(i, l.address(), seedList, t.Address()))
 	}
+	s.unlisted = &platformtest.Target{Instance: "i-unlisted", Service: platformtest.TargetService, Slots: 1}
+	if err := s.unlisted.Start(); err != nil {
+		return errors.Trace(err)
+	}
 	s.targetList.Set(s.targets)
 	for _, p := range s.processes() {
 		if err := p.start(s.Binary); err != nil {
@@ -134,6 +139,9 @@
 	for _, t := range s.targets {
 		t.Close()
 	}
+	if s.unlisted != nil {
+		s.unlisted.Close()
+	}
 	s.targetList.Close()
 }
 
