--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -113,6 +114,18 @@
 	}
 }
 
+// verifyProcesses checks that no process ended by itself.
+func (s *Soak) verifyProcesses() {
+	for _, p := range s.processes() {
+		p.mu.Lock()
+		failures := p.failures
+		p.mu.Unlock()
+		if failures > 0 {
+			s.history.addViolation("%s ended by itself %d times", p.name, failures)
+		}
+	}
+}
+
 // verifyRequest checks one request. Only the routes safe and resume allow a request to
 // run more than once, or to run although the response says that it did not.
 func (h *history) verifyRequest(req *sentRequest, runs []platformtest.Run) {
@@ -133,6 +146,11 @@
 	}
 	if want := responseBody(req.route, req.id); req.response.Err == nil && req.response.Status == 200 && req.response.Body != want {
 		h.addViolation("%s got %q as a whole answer instead of %q", name, req.response.Body, want)
+	} else if req.response.Status == 200 && !strings.HasPrefix(want, req.response.Body) {
+		h.addViolation("%s got %q before its answer broke off, which is no part of %q", name, req.response.Body, want)
+	}
+	if req.response.ID != "" && req.response.ID != req.id || req.response.Status == 200 && req.response.Stamp != "stamp-"+req.id {
+		h.addViolation("%s got the answer to request %q with the signature %q", name, req.response.ID, req.response.Stamp)
 	}
 	// A fault of the target may end a stream that cannot be resumed, also without a stop.
 	noTargetFault := !slices.ContainsFunc(runs, func(r platformtest.Run) bool { return r.Fault != platformtest.None })
@@ -200,6 +218,28 @@
 	return len(crashes), late
 }
 
+// drainRequests is how many requests verifyDrain sends to each entry.
+const drainRequests = 5
+
+// verifyDrain checks that the entries still follow the list, which may have odd entries: a target
+// that the list shows as draining gets no more requests.
+func (s *Soak) verifyDrain(ctx context.Context) {
+	t := s.targets[0]
+	t.SetDraining(true)
+	s.Clock.Sleep(noticeTime)
+	noticed := s.Clock.Now()
+	for i, p := range s.entries {
+		for n := range drainRequests {
+			s.send(ctx, i, "safe", fmt.Sprintf("drain-%d-%d", i, n), "one", "key-one-a", callerTimeout)
+		}
+		for _, r := range t.Runs() {
+			if strings.HasPrefix(r.ID, fmt.Sprintf("drain-%d-", i)) {
+				s.history.addViolation("request %s of %s ran at target %s, which was listed as draining %v before", r.ID, p.name, r.Instance, r.At.Sub(noticed)+noticeTime)
+			}
+		}
+	}
+}
+
 // limitWindow is the time over which the requests that a limited target gets are counted.
 const limitWindow = 4 * time.Second
 
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -55,6 +55,9 @@
 	subjectParts        = 20
 	// targetLimit is the rate that a target states while it has a limit.
 	targetLimit = 4.0
+	// maxOddEntries and maxOddPeriod bound how many odd entries the list has at a time, and for how long.
+	maxOddEntries = 4
+	maxOddPeriod  = 2 * time.Second
 	// crashItem is the item that crashes targets if Soak.CrashingItem is set.
 	crashItem = "crash-item"
 	// defaultInjectors is the default of Soak.Injectors.
@@ -79,10 +82,12 @@
 	Clock        clockwork.Clock
 	Logger       log.Interface
 
-	client       *platformtest.Client
-	history      history
-	targetList   platformtest.List
-	targets      []*platformtest.Target // all that were started
+	client     *platformtest.Client
+	history    history
+	targetList platformtest.List
+	targets    []*platformtest.Target // all that were started
+	// unlisted is a target that only odd entries of the list name.
+	unlisted     *platformtest.Target
 	controlHosts []*process
 	storeHosts   []*process
 	entries      []*process
@@ -101,18 +106,22 @@
 	// faulted holds the processes that an injector is dealing with.
 	faulted    map[*process]bool
 	faultCount int
+	// strayCount counts the responses that targets sent out of turn.
+	strayCount atomic.Int64
 	// disturbances are the times in which processes were stopped, frozen or restarting.
 	disturbances []*disturbance
 }
 
 // Report is the outcome of a run: how many requests were sent and served, how many jobs
 // were accepted, how many of their items are done, how many faults were injected, how often
-// requests crashed a target, and how many such requests should not have reached one any more.
+// requests crashed a target, how many such requests should not have reached one any more, and how
+// many responses targets sent out of turn.
 type Report struct {
 	Seed                         uint64
 	Requests, Served, Jobs, Done int
 	Faults                       int
 	Crashes, LateCrashingRuns    int
+	Strays                       int64
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -147,6 +156,8 @@
 	} else {
 		tasks.Go(func() { s.sendCrashingRequests(loadCtx, crashing) })
 	}
+	oddities := rand.New(rand.NewPCG(s.Seed, 97))
+	tasks.Go(func() { s.changeOddEntries(loadCtx, oddities) })
 	s.injectFaults(ctx)
 	stopLoad()
 	tasks.Wait()
@@ -154,8 +165,13 @@
 		return nil, errors.Annotatef(err, "seed %d", s.Seed)
 	}
 	s.awaitRecovery(ctx)
+	s.verifyDrain(ctx)
 	s.history.verify(s.targets)
+	for _, r := range s.unlisted.Runs() {
+		s.history.addViolation("request %s ran at a target that only odd entries of the list name", r.ID)
+	}
 	s.verifyLimits()
+	s.verifyProcesses()
 	crashes, late := s.verifyCrashes()
 	r := s.report()
 	r.Crashes, r.LateCrashingRuns = crashes, late
@@ -217,7 +233,7 @@
 
 // report counts what the history holds.
 func (s *Soak) report() *Report {
-	r := &Report{Seed: s.Seed, Requests: len(s.history.requests), Faults: s.faultCount, Broken: s.history.violations}
+	r := &Report{Seed: s.Seed, Requests: len(s.history.requests), Faults: s.faultCount, Strays: s.strayCount.Load(), Broken: s.history.violations}
 	for _, req := range s.history.requests {
 		if req.response.Err == nil && req.response.Status == 200 {
 			r.Served++
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 
@@ -17,6 +18,7 @@
 
 // startAll starts the target list, the targets and all processes.
 func (s *Soak) startAll() error {
+	s.targetList.Interleave = s.Seed%2 == 0
 	if err := s.targetList.Start(); err != nil {
 		return errors.Trace(err)
 	}
@@ -44,6 +46,10 @@
 		}
 		s.sides = append(s.sides, l.side(i, l.address(), seedList, t.Address()))
 	}
+	s.unlisted = &platformtest.Target{Instance: "i-unlisted", Service: platformtest.TargetService, Slots: 1}
+	if err := s.unlisted.Start(); err != nil {
+		return errors.Trace(err)
+	}
 	s.targetList.Set(s.targets)
 	for _, p := range s.processes() {
 		if err := p.start(s.Binary); err != nil {
@@ -53,8 +59,35 @@
 	return nil
 }
 
-// startTarget starts the emulated target of side i. About 6% of the first two attempts
-// of each request at this target get a random fault; items with unrunnablePrefix always
+// faults are the faults of which targets choose.
+var faults = []platformtest.Fault{
+	platformtest.Shed, platformtest.CutStream, platformtest.OtherRequestID, platformtest.DropConnection, platformtest.Hang, platformtest.Fail,
+}
+
+// failStatuses are statuses of targets that ran a request. Callers take the last three for the
+// promise that it did not run, which the targets do not state.
+var failStatuses = []int{500, 503, 429, 408}
+
+// resumeFaults are the faults of requests that resume a stream.
+var resumeFaults = []platformtest.Fault{
+	platformtest.ResumeError, platformtest.ResumePlainText, platformtest.ResumeRepeat, platformtest.ResumeSkip, platformtest.ResumeEmpty,
+}
+
+// resumeFaultPercent is the share of requests and items that all targets mishandle with the same one of the
+// resumeFaults, so that a stream that one target cut is continued wrongly at the next.
+const resumeFaultPercent = 3
+
+// resumeFault returns the fault of all targets for a request, None for most.
+func (s *Soak) resumeFault(id string) platformtest.Fault {
+	random := rand.New(rand.NewPCG(s.Seed, xxhash.Sum64String(id)))
+	if random.IntN(100) >= resumeFaultPercent {
+		return platformtest.None
+	}
+	return resumeFaults[random.IntN(len(resumeFaults))]
+}
+
+// startTarget starts the emulated target of side i. About 10% of the first two attempts
+// of each request at this target get a random fault or a resumeFault; items with unrunnablePrefix always
 // get status 422.
 func (s *Soak) startTarget(i int) (*platformtest.Target, error) {
 	random := rand.New(rand.NewPCG(s.Seed, uint64(1000+len(s.targets))))
@@ -63,15 +96,23 @@
 		Events: streamEvents, Pace: eventInterval, PlainPrefixes: []string{"/safe/", "/unsafe/"},
 		CrashPart: crashPart, CrashItem: crashItem, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
 	}
+	behaviour := rand.New(rand.NewPCG(s.Seed, uint64(3000+len(s.targets))))
+	t.FailStatus, t.Stray = failStatuses[behaviour.IntN(len(failStatuses))], s.newStrays(behaviour)
 	// The target calls Fault while it holds its lock, so random needs no lock of its own.
 	t.Fault = func(id string, attempt int) platformtest.Fault {
 		if strings.HasPrefix(id, unrunnablePrefix) {
 			return platformtest.Unprocessable
 		}
-		if attempt > 2 || random.IntN(100) >= 6 {
+		if attempt > 2 {
 			return platformtest.None
 		}
-		return []platformtest.Fault{platformtest.Shed, platformtest.CutStream, platformtest.OtherRequestID, platformtest.DropConnection, platformtest.Hang}[random.IntN(5)]
+		if f := s.resumeFault(id); f != platformtest.None {
+			return f
+		}
+		if random.IntN(100) >= 7 {
+			return platformtest.None
+		}
+		return faults[random.IntN(len(faults))]
 	}
 	s.targets = append(s.targets, t)
 	return t, t.Start()
@@ -98,6 +139,9 @@
 	for _, t := range s.targets {
 		t.Close()
 	}
+	if s.unlisted != nil {
+		s.unlisted.Close()
+	}
 	s.targetList.Close()
 }
 
