ingress: the test of responses out of turn allows idempotent requests a second run

It failed once in some 60 runs, at a load of 57: "resume-7: 2 runs". Since an idempotent request awaits the response that follows one out of turn for 0.2 s and is then sent again, which it may be; on a busy host that time passes. Requests that may not be repeated still must run once, and all get their own response with status 200. That a response in time is awaited and not replaced by a second run is checked by TestStrayResponses, whose client has no clock.

--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -343,7 +343,13 @@
 						qt.Check(t, err, qt.IsNil)
 						qt.Check(t, status, qt.Equals, 200)
 						qt.Check(t, body, qt.Equals, want)
-						qt.Check(t, runs, qt.Equals, 1, qt.Commentf("%s", id))
+						// On a busy host a request that may be repeated is sent again before the response that
+						// follows arrives.
+						mostRuns := 1
+						if route == "safe" || route == "resume" {
+							mostRuns = 2
+						}
+						qt.Check(t, runs >= 1 && runs <= mostRuns, qt.IsTrue, qt.Commentf("%s: %d runs", id, runs))
 					}
 				}
 			})
