discovery: Find holds no lock while it asks for the services of the configuration

A side whose address the list shows for two services (an odd entry, or an address used again) hung for good within a second. TestFindDuringUpdates failed before (it ended after 20 s); Find compares the few targets after it has released the lock.

--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -312,17 +312,24 @@
 // one of a service that the configuration names, that is not leaving, and that was listed first.
 func (t *Table) Find(address netip.AddrPort) (rhubarbgate.Instance, bool) {
 	t.initialize()
+	var listed []*Target
 	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var found *Target
 	for _, x := range t.targets {
-		if x.Instance.Address == address && (found == nil || t.isPreferred(x, found)) {
-			found = x
+		if x.Instance.Address == address {
+			listed = append(listed, x)
 		}
 	}
-	if found == nil {
+	t.mu.RUnlock()
+	if len(listed) == 0 {
 		return rhubarbgate.Instance{}, false
 	}
+	// NamesService takes the lock under which the owner of the configuration calls Update.
+	found := listed[0]
+	for _, x := range listed[1:] {
+		if t.isPreferred(x, found) {
+			found = x
+		}
+	}
 	instance := found.Instance
 	instance.Leaving = found.isLeaving()
 	return instance, true
