jobs: a job on trial tries items that did not run before those with which targets ended

Next preferred items that had waited, which are those with two or more ends, to queued ones that never ended a target; with two items that end targets the queue was never reached (no sound item in 20 minutes of the state machine). A return without a run (no slot, a blocked part) used up the wait as well.

--- a/internal/state/jobs/ends.go
+++ b/internal/state/jobs/ends.go
@@ -5,15 +5,11 @@
 	"time"
 )
 
-// Some items end the targets that run them. An item is not failed for that, but each end makes it
-// wait longer before it is leased again, and one item after the other of a job is tried if targets
-// end with several of them.
-
 const (
-	// firstEndDelay is how long an item waits after the second end of a target. Each further end
+	// secondEndDelay is how long an item waits after the second end of a target. Each further end
 	// doubles the wait, up to maxEndDelay. The first end is most often due to something else.
-	firstEndDelay = 2 * time.Second
-	maxEndDelay   = 5 * time.Minute
+	secondEndDelay = 2 * time.Second
+	maxEndDelay    = 5 * time.Minute
 	// trialGap is the time between the leases of two items that have waited. Sound items that were in
 	// flight with one that ends targets would otherwise wait as long as it, and be leased with it again.
 	trialGap = 500 * time.Millisecond
@@ -22,7 +18,9 @@
 	sameMoment = time.Second
 )
 
-// targetEnds counts ends of targets. The newest one that counted was at At.
+// targetEnds counts the ends of targets that ran an item, or items of one job; At is when the last
+// one that counted came. An item is not failed for them, but each makes it wait longer before it is
+// leased again, and if targets end with several items of a job, these are tried one at a time.
 type targetEnds struct {
 	Count uint8
 	At    time.Time
@@ -41,7 +39,7 @@
 	if e.Count < 2 {
 		return 0
 	}
-	d := firstEndDelay
+	d := secondEndDelay
 	for range e.Count - 2 {
 		if d *= 2; d >= maxEndDelay {
 			return maxEndDelay
--- a/internal/state/jobs/ends_test.go
+++ b/internal/state/jobs/ends_test.go
@@ -155,3 +155,44 @@
 	endTarget(m, 0, 0)
 	qt.Assert(t, bytes.Contains(snapshot(m), []byte("Ends")), qt.IsTrue)
 }
+
+// TestTrialReachesSoundItems guards against a job on trial that tries the items with which targets ended,
+// again and again, and never those that did not run: because they are preferred, or because an item
+// that was returned without a run counts as tried.
+func TestTrialReachesSoundItems(t *testing.T) {
+	tests := []struct {
+		name   string
+		ends   []int // items with which targets ended, in order, 4 s apart
+		queued []int32
+		ended  func(item int) bool // whether a target ends with a further run of the item
+	}{
+		{"two items that end targets", []int{0, 1, 0, 1}, []int32{2, 3, 4, 5, 6, 7, 8, 9}, func(item int) bool { return item < 2 }},
+		{"an item that is not run", []int{0, 0, 0}, []int32{1, 2, 3, 4, 5, 6, 7, 8, 9}, func(int) bool { return false }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newSubmitted(t, 10)
+			m.BeginLeasing()
+			for n, i := range test.ends {
+				endTarget(m, i, time.Duration(n)*4*time.Second)
+			}
+			m.jobs["j"].queues[0] = test.queued
+			leased := map[int]bool{}
+			for now := 30 * time.Second; now < 3*time.Minute; now += 100 * time.Millisecond {
+				if !mayLease(m, now) {
+					continue
+				}
+				ref, ok := m.Next("j", map[string]bool{"r": true})
+				if !ok {
+					continue
+				}
+				leased[ref.Index] = true
+				m.Apply(&Command{At: submittedAt.Add(now), Lease: &Lease{Items: []ItemRef{ref}, Side: "s"}})
+				m.Apply(&Command{At: submittedAt.Add(now), Return: &Return{Items: []ItemRef{ref}, TargetEnded: []bool{test.ended(ref.Index)}}})
+			}
+			for _, i := range test.queued {
+				qt.Check(t, leased[int(i)], qt.IsTrue, qt.Commentf("item %d", i))
+			}
+		})
+	}
+}
--- a/internal/state/jobs/items.go
+++ b/internal/state/jobs/items.go
@@ -117,6 +117,9 @@
 				j.recordEnd(ref.Index, at)
 			case len(progress) > len(j.progress[int32(ref.Index)]):
 				j.recordAnswer(ref.Index)
+			default:
+				// The item did not run, or without a result, so another one may be tried at once.
+				j.triedAt = time.Time{}
 			}
 			if len(progress) > 0 {
 				j.saveProgress(ref.Index, progress)
--- a/internal/state/jobs/query.go
+++ b/internal/state/jobs/query.go
@@ -148,8 +148,8 @@
 }
 
 // PendingJobs returns the running jobs that have pending items for one of needs,
-// ordered by ID. Pending counts only those items that may be leased now, of a job on trial one at
-// most; weight returns the share of a workspace.
+// ordered by ID. Pending counts only items that may be leased now, at most one of a job on trial;
+// weight returns the share of a workspace.
 func (m *Machine) PendingJobs(needs map[string]bool, weight func(string) float64) []rhubarbgate.PendingJob {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -194,23 +194,45 @@
 		if !needs[j.inputFile.needs[need]] {
 			continue
 		}
-		if k := m.findTrial(j, key); k >= 0 {
-			i := j.waiting[key][k]
-			j.waiting[key] = slices.Delete(j.waiting[key], k, k+1)
-			m.triedAt = m.now
-			return m.choose(j, i), true
+		// A job on trial leases one item at a time, first those at which no two targets ended.
+		next := []func(*job, uint16) (ItemRef, bool){m.nextWaiting, m.nextQueued}
+		if j.streak.delay() > 0 {
+			slices.Reverse(next)
 		}
-		for len(j.queues[key]) > 0 {
-			i := j.queues[key][0]
-			j.queues[key] = j.queues[key][1:]
-			if j.items[i].state == Pending && j.ends[i].delay() == 0 {
-				return m.choose(j, i), true
+		for _, f := range next {
+			if ref, ok := f(j, key); ok {
+				return ref, true
 			}
 		}
 	}
 	return ItemRef{}, false
 }
 
+// nextWaiting removes an item that has waited long enough and returns its next attempt. The lock
+// is held.
+func (m *Machine) nextWaiting(j *job, need uint16) (ItemRef, bool) {
+	k := m.findTrial(j, need)
+	if k < 0 {
+		return ItemRef{}, false
+	}
+	i := j.waiting[need][k]
+	j.waiting[need] = slices.Delete(j.waiting[need], k, k+1)
+	m.triedAt = m.now
+	return m.choose(j, i), true
+}
+
+// nextQueued removes the next item that need not wait and returns its next attempt. The lock is held.
+func (m *Machine) nextQueued(j *job, need uint16) (ItemRef, bool) {
+	for len(j.queues[need]) > 0 {
+		i := j.queues[need][0]
+		j.queues[need] = j.queues[need][1:]
+		if j.items[i].state == Pending && j.ends[i].delay() == 0 {
+			return m.choose(j, i), true
+		}
+	}
+	return ItemRef{}, false
+}
+
 // choose returns the next attempt of item i. The lock is held.
 func (m *Machine) choose(j *job, i int32) ItemRef {
 	j.triedAt = m.now
