streams, target: wording, and no blame of a target whose caller left

A continuation that the caller's disconnect or the deadline ended before its first event counted against the health of the target; breakOff, which follows, has the right condition.

--- a/internal/http/events/reader.go
+++ b/internal/http/events/reader.go
@@ -45,7 +45,7 @@
 func CheckHead(header func(name string) string) error {
 	mediaType, _, _ := strings.Cut(header("Content-Type"), ";")
 	if !strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream") {
-		return errors.Errorf("a response of type %q is no stream of events", header("Content-Type"))
+		return errors.Errorf("content type %q is not text/event-stream", header("Content-Type"))
 	}
 	if e := header("Content-Encoding"); e != "" && !strings.EqualFold(e, "identity") {
 		return errors.Errorf("the stream is encoded as %q", e)
@@ -56,9 +56,9 @@
 // Position is how far a stream has come, over all of its responses. The IDs of a numbered stream
 // are consecutive. The zero value is the start of a stream.
 type Position struct {
-	last  uint64
-	id    string // as received; empty if no event has a number
-	vague bool   // an event without a number followed
+	last       uint64
+	id         string // as received; empty if no event has a number
+	unnumbered bool   // an event without a number followed
 }
 
 // After returns the position after the event with this ID, or the start if it is no number.
@@ -72,7 +72,7 @@
 
 // Resumable returns the ID of the last event, or none at the start. It reports false if an event
 // without a number followed, so that nothing shows whether a response continues the stream there.
-func (p *Position) Resumable() (id string, ok bool) { return p.id, !p.vague }
+func (p *Position) Resumable() (id string, ok bool) { return p.id, !p.unnumbered }
 
 func (p *Position) numbered() bool { return p.id != "" }
 
@@ -83,7 +83,7 @@
 		if p.numbered() && isFirst {
 			return errors.Errorf("the event after %d has no ID", p.last)
 		}
-		p.vague = true
+		p.unnumbered = true
 		return nil
 	}
 	next := After(e.ID)
@@ -91,7 +91,7 @@
 		return errors.Errorf("event %.*q follows event %d", maxShownBytes, e.ID, p.last)
 	}
 	*p = next
-	p.vague = !next.numbered()
+	p.unnumbered = !next.numbered()
 	return nil
 }
 
@@ -164,7 +164,7 @@
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if hasOther && !hasStandard {
-				return Event{}, errors.Errorf("%.*q is no event", maxShownBytes, e.Raw)
+				return Event{}, errors.Errorf("%.*q is not an event", maxShownBytes, e.Raw)
 			}
 			return e, nil
 		}
@@ -186,7 +186,7 @@
 			// Targets add fields of their own, but before the standard ones: a line behind those
 			// may be from the head of another response.
 			if hasStandard || !hasValue || !isFieldName(name) {
-				return Event{}, errors.Errorf("line %.*q is no event's", maxShownBytes, line)
+				return Event{}, errors.Errorf("unexpected line %.*q in the event stream", maxShownBytes, line)
 			}
 			hasOther = true
 			continue
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -49,7 +49,6 @@
 	}
 	if err != nil {
 		a.response.Abandon()
-		a.finish(true)
 		return a.breakOff(err)
 	}
 	r.attempt, r.events = a, in
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -96,8 +96,8 @@
 	// neither a Content-Length nor chunks. Otherwise Read reports such a body as truncated.
 	CloseDelimited bool
 	// IDHeader is the header with the ID of a request, which the target repeats in its response; empty
-	// means that the target does not identify its responses. The only response on a connection
-	// needs no ID: a connection is kept for further requests only if its responses have one.
+	// means that the target does not identify its responses. Without IDs a response is known to
+	// belong to a request only if the connection carries no other one, so it is not kept.
 	IDHeader string
 	// KeepUnidentified keeps connections whose responses have no ID too. It is for readers whom a
 	// response to an earlier request serves as well.
