--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -48,7 +48,6 @@
 		first, err = in.Next()
 	}
 	if err != nil {
-		a.response.Abandon()
 		return a.breakOff(err)
 	}
 	r.attempt, r.events = a, in
