--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -90,7 +90,8 @@
 	// MaxIdle is how long a connection may have been idle and still carry any request;
 	// 0 means no limit.
 	MaxIdle time.Duration
-	// Clock measures idle times; if it is nil, they are not checked.
+	// Clock measures idle times and the wait after a response out of turn; if it is nil, neither
+	// is bounded.
 	Clock clockwork.Clock
 	// CloseDelimited accepts the end of the connection as the end of a body that has
 	// neither a Content-Length nor chunks. Otherwise Read reports such a body as truncated.
