ingress: broken responses are logged with a digest of their request

Cause: during an incident all targets of a service ended again and again. The lines name a new request ID each time and no parts, so they do not show whether one request comes again or many requests end targets. Change: the line 'target broke off a response' has the field content, a digest of workspace, method, host, path and body.

--- a/internal/http/ingress/exchange.go
+++ b/internal/http/ingress/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
 
@@ -35,6 +36,8 @@
 	// for trial.
 	trial bool
 
+	content string // cache of contentPart
+
 	// stopWatch ends the watch on the caller's connection.
 	stopWatch func()
 }
@@ -65,6 +68,14 @@
 	return x.Route.Kind == rhubarbgate.Safe || x.Route.Resumable
 }
 
+// contentPart returns the ID of the part that stands for the request's content.
+func (x *Exchange) contentPart() string {
+	if x.content == "" {
+		x.content = quarantine.RequestPart(x.Workspace, string(x.HTTP.Method()), string(x.HTTP.Host()), string(x.HTTP.RequestURI()), x.HTTP.Request.Body())
+	}
+	return x.content
+}
+
 // fields returns the log fields that describe the exchange.
 func (x *Exchange) fields(now time.Time) log.Fields {
 	return log.Fields{
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -410,7 +410,7 @@
 		Target: a.target, Parts: a.x.Call.SharedParts(), At: now, Answering: a.progress.Answering(now), Resumed: a.resumed,
 		Fields: a.x.fields(now), Cause: e.Message,
 	}
-	b.Fields["sent"] = len(a.tried)
+	b.Fields["sent"], b.Fields["content"] = len(a.tried), a.x.contentPart()
 	a.server.Crashes.RecordBreak(b)
 }
 
