--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -48,6 +48,11 @@
 // startFleet starts a fleet that runs until the test ends, and returns it once all entries serve.
 // change changes each target before it starts.
 func startFleet(t *testing.T, change func(x *platformtest.Target)) *fleet {
+	return startFleetOf(t, targetCount, change)
+}
+
+// startFleetOf is like startFleet, with the given number of targets.
+func startFleetOf(t *testing.T, targetCount int, change func(x *platformtest.Target)) *fleet {
 	f := &fleet{t: t, client: platformtest.NewClient()}
 	var list platformtest.List
 	for i := range targetCount {
--- /dev/null
+++ b/internal/role/entry/repeat_test.go
@@ -0,0 +1,157 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rhubarbgate.example/rhubarbgate/platform/platformtest"
+)
+
+// repeatedCaller sends one request again and again, with another ID each time.
+type repeatedCaller struct {
+	route, body string
+	parts       []string
+	interval    time.Duration
+}
+
+// TestRequestThatCrashesTargets guards against a request that crashes targets and comes again under
+// other IDs ending one target after the other, and against refusing requests that were in flight beside it.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name     string
+		targets  int
+		downtime time.Duration
+		bad      []repeatedCaller
+	}{
+		{"without a prompt, few targets", 4, 2500 * ms, []repeatedCaller{{"safe", "bad-1", nil, 100 * ms}}},
+		{"two at once, few targets", 4, 1500 * ms, []repeatedCaller{{"safe", "bad-1", nil, 100 * ms}, {"safe", "bad-2", nil, 130 * ms}}},
+		{"not repeatable", 6, 1500 * ms, []repeatedCaller{{"unsafe", "bad-1", nil, 150 * ms}}},
+		{"with a prompt, resumable and not", 8, 1500 * ms, []repeatedCaller{{"resume", "bad-1", []string{"common", "own"}, 200 * ms}, {"stream", "bad-2", []string{"common", "other"}, 200 * ms}}},
+		{"seldom", 4, 500 * ms, []repeatedCaller{{"safe", "bad-1", nil, 2500 * ms}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleetOf(t, test.targets, func(x *platformtest.Target) {
+				x.CrashPart, x.CrashDelay, x.Downtime = "", 80*ms, test.downtime
+				x.PlainPrefixes = []string{"/safe/", "/unsafe/"}
+				for _, b := range test.bad {
+					x.CrashBodies = append(x.CrashBodies, b.body)
+				}
+			})
+			f.repeatRequests(test.bad)
+		})
+	}
+}
+
+// maxLateRequests is how many requests may reach targets later than noticeTime after the third
+// crash, of those that crash targets.
+const maxLateRequests = 3
+
+// repeatRequests sends sound requests and those that crash targets, and checks what reaches targets.
+func (f *fleet) repeatRequests(bad []repeatedCaller) {
+	t := f.t
+	start := time.Now()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	sound := make(chan []sentRequest, 1)
+	go func() { sound <- f.repeatedSoundRequests(ctx) }()
+	time.Sleep(1500 * time.Millisecond)
+
+	firstBad := time.Now()
+	var callers sync.WaitGroup
+	for k, b := range bad {
+		callers.Go(func() {
+			for n := 0; time.Since(firstBad) < 7*noticeTime; n++ {
+				callers.Go(func() {
+					f.sendBody((n+k)%entryCount, b.route, fmt.Sprintf("%s-%d", b.body, n), b.parts, b.body)
+				})
+				time.Sleep(b.interval)
+			}
+		})
+	}
+	callers.Wait()
+	stop()
+	sent := <-sound
+
+	known := firstBad
+	for _, b := range bad {
+		var arrivals, crashes []platformtest.Arrival
+		for _, x := range f.targets {
+			for _, r := range x.CrashingRuns() {
+				if r.Body != b.body {
+					continue
+				}
+				arrivals = append(arrivals, r)
+				if r.Crashed {
+					crashes = append(crashes, r)
+				}
+			}
+		}
+		slices.SortFunc(crashes, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
+		if len(crashes) < 3 {
+			t.Logf("%s: %d crashes", b.body, len(crashes))
+			continue
+		}
+		bound := crashes[2].At.Add(noticeTime)
+		late := 0
+		for _, r := range arrivals {
+			if r.At.After(bound) {
+				late++
+			}
+		}
+		qt.Check(t, late <= maxLateRequests, qt.IsTrue, qt.Commentf("%s: %d reached targets later than %v after the third crash; %d crashes", b.body, late, noticeTime, len(crashes)))
+		t.Logf("%s: %d crashes, %d late", b.body, len(crashes), late)
+		if bound.After(known) {
+			known = bound
+		}
+	}
+	before, after := servedShare(sent, start, firstBad), servedShare(sent, known.Add(noticeTime), time.Now())
+	qt.Check(t, after >= 0.9*before, qt.IsTrue, qt.Commentf("of the sound requests %.2f were served before the crashes, %.2f afterwards", before, after))
+	t.Logf("served %.2f before, %.2f after", before, after)
+}
+
+// repeatedSoundRequests sends sound requests until ctx ends and returns them. Some of them come
+// again and again, and all have the path of those that crash targets.
+func (f *fleet) repeatedSoundRequests(ctx context.Context) []sentRequest {
+	var mu sync.Mutex
+	var sent []sentRequest
+	var callers sync.WaitGroup
+	for c := range 8 {
+		callers.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(c), 4))
+			for n := 0; ctx.Err() == nil; n++ {
+				at := time.Now()
+				id := fmt.Sprintf("sound-%d-%d", c, n)
+				body := id
+				if random.IntN(2) == 0 {
+					body = fmt.Sprintf("often-%d", random.IntN(4))
+				}
+				route := []string{"safe", "resume"}[random.IntN(2)]
+				served := f.sendBody(random.IntN(entryCount), route, id, []string{"common", body}, body)
+				mu.Lock()
+				sent = append(sent, sentRequest{at, served})
+				mu.Unlock()
+				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	return sent
+}
+
+// sendBody is like send, for a request with the given body.
+func (f *fleet) sendBody(entry int, route, id string, parts []string, body string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	r := f.client.SendBody(ctx, f.entries[entry], route, id, callerKey, callerTimeout, parts, body)
+	return r.Err == nil && r.Status == 200
+}
