--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -33,7 +33,8 @@
 // Break is a response that its target broke off.
 type Break struct {
 	Target *discovery.Target
-	// Parts are the parts of the request's prompt that other requests may have too.
+	// Parts are the parts of the request's prompt that other requests may have too, and the part
+	// that stands for its content.
 	Parts []string
 	// Answering is how long ago the first event of the response had come, 0 if none had.
 	Answering time.Duration
@@ -94,8 +95,8 @@
 
 	mu           sync.RWMutex
 	answers      recentAnswers
-	services     []string // whose targets have answered
-	newestAnswer time.Time
+	services     []string  // whose targets have answered
+	newestAnswer time.Time // to a prompt
 	ends         []*end
 	version      control.LeaderVersion
 	suspects     []quarantine.Part
@@ -168,7 +169,10 @@
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.newestAnswer = now
+	r.answers.add(quarantine.Part{Service: service, ID: quarantine.AnyPart}, now)
+	if slices.ContainsFunc(parts, func(p quarantine.Part) bool { return !p.IsRequest() }) {
+		r.newestAnswer = now
+	}
 	if !slices.Contains(r.services, service) {
 		r.services = append(r.services, service)
 	}
--- a/internal/controller/crashes/report.go
+++ b/internal/controller/crashes/report.go
@@ -166,6 +166,10 @@
 			in.Report.Blocks = append(in.Report.Blocks, quarantine.Block{Part: p, With: b.with, Except: b.except, Trial: b.trial, Left: left})
 		}
 	}
+	if len(wanted) == 0 {
+		return nil, nil
+	}
+	wanted = append(wanted, quarantine.Part{ID: quarantine.AnyPart})
 	seen := map[string]bool{}
 	for _, p := range wanted {
 		if seen[p.ID] {
@@ -179,9 +183,6 @@
 			}
 		}
 	}
-	if len(wanted) == 0 {
-		return nil, nil
-	}
 	if in.Report.Answered = !r.newestAnswer.IsZero(); in.Report.Answered {
 		in.Report.AnsweredAge = now.Sub(r.newestAnswer)
 	}
--- a/internal/controller/crashes/report_test.go
+++ b/internal/controller/crashes/report_test.go
@@ -64,8 +64,9 @@
 	first := <-received
 	qt.Assert(t, first.Crashes, qt.HasLen, 1)
 	qt.Assert(t, first.Crashes[0].Parts, qt.DeepEquals, quarantine.Parts("lm", []string{"common", "bad"}))
-	qt.Assert(t, first.Answers, qt.HasLen, 1)
+	qt.Assert(t, first.Answers, qt.HasLen, 2)
 	qt.Assert(t, first.Answers[0].Part.ID, qt.Equals, "common")
+	qt.Assert(t, first.Answers[1].Part, qt.Equals, quarantine.Part{Service: "lm", ID: quarantine.AnyPart})
 	qt.Assert(t, first.Answered, qt.IsTrue)
 
 	now := r.Clock.Now()
--- a/internal/http/ingress/exchange.go
+++ b/internal/http/ingress/exchange.go
@@ -76,6 +76,13 @@
 	return x.content
 }
 
+// parts returns the parts that show whether targets end with the request: those of its prompt that
+// other requests may have too, and the one that stands for its content.
+func (x *Exchange) parts() []string {
+	shared := x.Call.SharedParts()
+	return append(shared[:len(shared):len(shared)], x.contentPart())
+}
+
 // fields returns the log fields that describe the exchange.
 func (x *Exchange) fields(now time.Time) log.Fields {
 	return log.Fields{
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
 
@@ -192,7 +193,7 @@
 		}
 	}
 	if blocked != nil {
-		x.trial = f.server.Crashes.RequestTrial(x.Context, service, x.Call.SharedParts())
+		x.trial = f.server.Crashes.RequestTrial(x.Context, service, x.parts())
 		if !x.trial {
 			f.server.Counts.Quarantined.Add(1)
 			return blocked
@@ -202,12 +203,15 @@
 }
 
 // checkBlocked returns an error if no target of the service may get the request, because targets
-// ended with a part of its prompt.
+// ended with a part of its prompt or with a request of the same content.
 func (s *Server) checkBlocked(x *Exchange, service string) *rhubarbgate.Error {
-	part, left, blocked := s.Crashes.Blocked(service, x.Call.SharedParts())
+	part, left, blocked := s.Crashes.Blocked(service, x.parts())
 	if !blocked {
 		return nil
 	}
+	if (quarantine.Part{ID: part}).IsRequest() {
+		return notRun(rhubarbgate.CodeUnavailable, "targets of service %q end when they run this request, %s", service, part).WithRetryAfter(left)
+	}
 	return notRun(rhubarbgate.CodeUnavailable, "targets of service %q end when they answer prompts with the part %s", service, part).WithRetryAfter(left)
 }
 
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -396,7 +396,7 @@
 // recordAnswer records that the target answered the request completely.
 func (a *attempt) recordAnswer() {
 	if a.response.Status == fasthttp.StatusOK {
-		a.server.Crashes.RecordAnswer(a.target.Instance.Service, a.x.Call.SharedParts())
+		a.server.Crashes.RecordAnswer(a.target.Instance.Service, a.x.parts())
 	}
 }
 
@@ -407,7 +407,7 @@
 	}
 	now := a.server.Clock.Now()
 	b := crashes.Break{
-		Target: a.target, Parts: a.x.Call.SharedParts(), At: now, Answering: a.progress.Answering(now), Resumed: a.resumed,
+		Target: a.target, Parts: a.x.parts(), At: now, Answering: a.progress.Answering(now), Resumed: a.resumed,
 		Fields: a.x.fields(now), Cause: e.Message,
 	}
 	b.Fields["sent"], b.Fields["content"] = len(a.tried), a.x.contentPart()
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -21,6 +21,7 @@
 	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
@@ -726,7 +727,7 @@
 		})
 	}
 	qt.Assert(t, e.server.Counts.Quarantined.Value(), qt.Equals, int64(1))
-	refusal := e.server.checkBlocked(&Exchange{Call: rhubarbgate.Call{PromptParts: []string{"bad", "own"}}}, "lm")
+	refusal := e.server.checkBlocked(&Exchange{HTTP: new(fasthttp.RequestCtx), Call: rhubarbgate.Call{PromptParts: []string{"bad", "own"}}}, "lm")
 	qt.Assert(t, refusal.Verdict, qt.Equals, rhubarbgate.NotRun)
 	qt.Assert(t, refusal.RetryAfter > 50*time.Second, qt.IsTrue)
 }
--- a/internal/policy/quarantine/request.go
+++ b/internal/policy/quarantine/request.go
@@ -1,10 +1,25 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"strings"
+	"time"
+)
+
+const (
+	// minRequestEnds is at how many ends of targets a request must have been, with no answer to it
+	// since, before it is sent only as a trial. One end is also that of the requests beside it.
+	minRequestEnds = 2
+	// minGuiltyEnds is at how many ends, that of a trial included, a request is blocked.
+	minGuiltyEnds = 3
+	// minFailedTrials is after how many trials that ended their targets a request is blocked
+	// although the targets have answered no other since.
+	minFailedTrials = 2
 )
 
 // requestPrefix begins the IDs of parts that stand for whole requests. No part of a prompt has it,
@@ -29,3 +44,89 @@
 
 // IsRequest reports whether the part stands for the content of a request.
 func (p Part) IsRequest() bool { return strings.HasPrefix(p.ID, requestPrefix) }
+
+// requestTrial is a request that was sent as a trial.
+type requestTrial struct {
+	part Part
+	at   time.Time
+}
+
+// isExplained reports whether the end of a target counts against a blocked request instead of
+// another request. It still counts against parts of prompts, which the blocked one may have.
+// The lock is held.
+func (t *Table) isExplained(c *crash, part Part) bool {
+	if !part.IsRequest() {
+		return false
+	}
+	for p := range t.guilty {
+		if p != part && c.parts[p] {
+			return true
+		}
+	}
+	return false
+}
+
+// isRequestSuspect reports whether targets ended with a request time and again. The lock is held.
+func (t *Table) isRequestSuspect(part Part, now time.Time) bool {
+	c := t.counted(part)
+	return len(c) >= minRequestEnds && now.Sub(newest(c)) < blockTime
+}
+
+// findGuilty finds the requests to block, given the number of ends of targets for each part. The
+// request that was at most ends comes first, as it explains the ends of those beside it. The lock is held.
+func (t *Table) findGuilty(ends map[Part]int, now time.Time) {
+	t.guilty = map[Part]bool{}
+	byEnds := slices.SortedFunc(maps.Keys(t.suspected), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(ends[b], ends[a]), CompareParts(a, b))
+	})
+	for _, p := range byEnds {
+		if p.IsRequest() && ends[p] >= minGuiltyEnds && t.isGuilty(p, now) {
+			t.guilty[p] = true
+		}
+	}
+}
+
+// isGuilty reports whether a request is blocked: its trial ended the target too, while others were
+// answered or time and again. The lock is held.
+func (t *Table) isGuilty(part Part, now time.Time) bool {
+	c := t.counted(part)
+	if len(c) < minGuiltyEnds || now.Sub(newest(c)) >= blockTime {
+		return false
+	}
+	failed := t.countFailedTrials(part)
+	return failed >= minFailedTrials || failed > 0 && t.answers[Part{part.Service, AnyPart}].After(oldest(c))
+}
+
+// countFailedTrials returns how many trials of a request ended their targets. The lock is held.
+func (t *Table) countFailedTrials(part Part) int {
+	n := t.failedTrials[part]
+	if at, ok := t.trials[part]; ok && newest(t.counted(part)).After(at) {
+		n++
+	}
+	return n
+}
+
+// mayTryRequest reports whether a request may be sent as a trial. The requests that were sent before
+// it was suspected have an outcome by then, and so has the newest trial of another request at
+// the service: a target that ends during two trials would show neither to be the cause. The lock is held.
+func (t *Table) mayTryRequest(part Part, now time.Time) bool {
+	if t.guilty[part] || now.Sub(newest(t.counted(part))) < TrialInterval {
+		return false
+	}
+	last, ok := t.requestTrials[part.Service]
+	if !ok || now.Sub(last.at) >= trialOutcomeTime || t.answers[last.part].After(last.at) {
+		return true
+	}
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.parts[last.part] && c.at.After(last.at) })
+}
+
+// oldest returns the time of the first of the ends of targets.
+func oldest(c []*crash) time.Time {
+	at := c[0].at
+	for _, x := range c {
+		if x.at.Before(at) {
+			at = x.at
+		}
+	}
+	return at
+}
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -11,6 +11,9 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// AnyPart is the ID in the Answer that says when targets of a service last answered any request.
+const AnyPart = ""
+
 const (
 	// minMoments is at how many moments targets must have ended, with no answer to the part in
 	// between, before the part is suspected. Fewer happen by chance when targets end for other
@@ -135,7 +138,13 @@
 	newestAnswer time.Time
 	suspected    map[Part]time.Time // since when
 	trials       map[Part]time.Time // when the newest trial of a suspect was granted
-	adopted      map[Part]adoptedBlock
+	// failedTrials counts the trials of a request, before the newest, that ended their targets.
+	failedTrials map[Part]int
+	// requestTrials holds the newest trial of a request by service, since one is under way at a time.
+	requestTrials map[string]requestTrial
+	// guilty are the requests that are blocked. update sets it.
+	guilty  map[Part]bool
+	adopted map[Part]adoptedBlock
 }
 
 // Add merges a report, and returns the parts of its Blocks that are not blocked any more because
@@ -145,6 +154,7 @@
 	defer t.mu.Unlock()
 	if t.answers == nil {
 		t.answers, t.suspected, t.trials, t.adopted = map[Part]time.Time{}, map[Part]time.Time{}, map[Part]time.Time{}, map[Part]adoptedBlock{}
+		t.failedTrials, t.requestTrials = map[Part]int{}, map[string]requestTrial{}
 	}
 	now := t.Clock.Now()
 	for _, c := range r.Crashes {
@@ -205,16 +215,22 @@
 	for p := range t.adopted {
 		ids[p.ID] = true
 	}
-	maps.DeleteFunc(t.answers, func(p Part, _ time.Time) bool { return !ids[p.ID] })
-	maps.DeleteFunc(t.suspected, func(p Part, _ time.Time) bool {
-		return crashes[p] < min(minMoments, minTrialEnds) || !t.isSuspect(p) && !t.isOnTrial(p, now)
-	})
-	for p, n := range crashes {
-		if n >= min(minMoments, minTrialEnds) && t.suspected[p].IsZero() && (t.isSuspect(p) || t.isOnTrial(p, now)) {
+	maps.DeleteFunc(t.answers, func(p Part, _ time.Time) bool { return p.ID != AnyPart && !ids[p.ID] })
+	t.findGuilty(crashes, now)
+	isSuspected := func(p Part) bool {
+		if p.IsRequest() {
+			return crashes[p] >= minRequestEnds && t.isRequestSuspect(p, now)
+		}
+		return crashes[p] >= min(minMoments, minTrialEnds) && (t.isSuspect(p) || t.isOnTrial(p, now))
+	}
+	maps.DeleteFunc(t.suspected, func(p Part, _ time.Time) bool { return !isSuspected(p) })
+	for p := range crashes {
+		if t.suspected[p].IsZero() && isSuspected(p) {
 			t.suspected[p] = now
 		}
 	}
 	maps.DeleteFunc(t.trials, func(p Part, _ time.Time) bool { return t.suspected[p].IsZero() })
+	maps.DeleteFunc(t.failedTrials, func(p Part, _ int) bool { return t.suspected[p].IsZero() })
 }
 
 // counted returns the ends of targets that count against a part: it was present, and was not
@@ -223,7 +239,7 @@
 	var r []*crash
 	answered := t.answers[part]
 	for _, c := range t.crashes {
-		if c.parts[part] && c.at.After(answered.Add(answerMargin)) {
+		if c.parts[part] && c.at.After(answered.Add(answerMargin)) && !t.isExplained(c, part) {
 			r = append(r, c)
 		}
 	}
@@ -293,6 +309,12 @@
 	var r []Block
 	for p, since := range t.suspected {
 		c := t.counted(p)
+		if p.IsRequest() {
+			if _, ok := t.adopted[p]; !ok || t.guilty[p] {
+				r = append(r, Block{Part: p, Except: t.answeredElsewhere(p), Trial: !t.guilty[p], Left: newest(c).Add(blockTime).Sub(now)})
+			}
+			continue
+		}
 		b := Block{Part: p, With: t.presentAtAll(c, p), Except: t.answeredElsewhere(p), Left: newest(c).Add(blockTime).Sub(now)}
 		if now.Sub(since) < objectionPeriod || !t.isSuspect(p) {
 			if _, ok := t.adopted[p]; ok || !t.isOnTrial(p, now) {
--- a/internal/policy/quarantine/trial.go
+++ b/internal/policy/quarantine/trial.go
@@ -68,6 +68,12 @@
 			continue
 		}
 		suspects = append(suspects, p)
+		if p.IsRequest() {
+			if !t.mayTryRequest(p, now) {
+				return false
+			}
+			continue
+		}
 		at, ok := t.trials[p]
 		if !ok {
 			continue
@@ -81,6 +87,10 @@
 		}
 	}
 	for _, p := range suspects {
+		if p.IsRequest() {
+			t.failedTrials[p] = t.countFailedTrials(p)
+			t.requestTrials[p.Service] = requestTrial{p, now}
+		}
 		t.trials[p] = now
 	}
 	return len(suspects) > 0
