--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -907,7 +907,7 @@
 		q.Blocks = []quarantine.Block{{Part: quarantine.Part{Service: "v1", ID: "bad"}, Except: except, Left: time.Minute}}
 		s.Crashes.Update(q, clock.Now())
 	}
-	x := &Exchange{HTTP: new(fasthttp.RequestCtx), 
+	x := &Exchange{HTTP: new(fasthttp.RequestCtx),
 		Call:  rhubarbgate.Call{PromptParts: []string{"bad", "own"}},
 		Route: rhubarbgate.Route{Split: []rhubarbgate.Share{{Service: "v1", Weight: 9}, {Service: "v2", Weight: 1}, {Service: "v3"}}},
 	}
--- a/internal/policy/quarantine/request.go
+++ b/internal/policy/quarantine/request.go
@@ -69,7 +69,7 @@
 // isRequestSuspect reports whether targets ended with a request time and again. The lock is held.
 func (t *Table) isRequestSuspect(part Part, now time.Time) bool {
 	c := t.counted(part)
-	return len(c) >= minRequestEnds && now.Sub(newest(c)) < blockTime
+	return len(c) >= minRequestEnds && now.Sub(newest(c)) < BlockTime
 }
 
 // findGuilty finds the requests to block, given the number of ends of targets for each part. The
@@ -90,7 +90,7 @@
 // answered or time and again. The lock is held.
 func (t *Table) isGuilty(part Part, now time.Time) bool {
 	c := t.counted(part)
-	if len(c) < minGuiltyEnds || now.Sub(newest(c)) >= blockTime {
+	if len(c) < minGuiltyEnds || now.Sub(newest(c)) >= BlockTime {
 		return false
 	}
 	failed := t.countFailedTrials(part)
--- a/internal/policy/quarantine/request_test.go
+++ b/internal/policy/quarantine/request_test.go
@@ -65,7 +65,7 @@
 			add(after, 4*second)
 			var blocked, tried []string
 			for _, b := range table.Blocks() {
-				qt.Check(t, b.Left > 0 && b.Left <= blockTime, qt.IsTrue)
+				qt.Check(t, b.Left > 0 && b.Left <= BlockTime, qt.IsTrue)
 				qt.Check(t, b.With, qt.HasLen, 0)
 				if b.Trial {
 					tried = append(tried, b.Part.ID)
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -34,11 +34,11 @@
 	// objectionPeriod is how long a part is suspected before it is blocked. It covers the way
 	// to all daemons and back, which report their answers to the part.
 	objectionPeriod = 800 * time.Millisecond
-	// blockTime is how long after the last end of a target a part stays blocked.
-	blockTime = 5 * time.Minute
-	// CrashTTL is how long an end of a target counts. It exceeds blockTime, so that the first
+	// BlockTime is how long after the last end of a target a part stays blocked.
+	BlockTime = 5 * time.Minute
+	// CrashTTL is how long an end of a target counts. It exceeds BlockTime, so that the first
 	// end after a block blocks the part again at once.
-	CrashTTL = 2 * blockTime
+	CrashTTL = 2 * BlockTime
 	// SameCrashPeriod is the time within which reports about one target describe one end. A
 	// target may keep its name when it restarts, but it takes longer.
 	SameCrashPeriod = time.Second
@@ -311,11 +311,11 @@
 		c := t.counted(p)
 		if p.IsRequest() {
 			if _, ok := t.adopted[p]; !ok || t.guilty[p] {
-				r = append(r, Block{Part: p, Except: t.answeredElsewhere(p), Trial: !t.guilty[p], Left: newest(c).Add(blockTime).Sub(now)})
+				r = append(r, Block{Part: p, Except: t.answeredElsewhere(p), Trial: !t.guilty[p], Left: newest(c).Add(BlockTime).Sub(now)})
 			}
 			continue
 		}
-		b := Block{Part: p, With: t.presentAtAll(c, p), Except: t.answeredElsewhere(p), Left: newest(c).Add(blockTime).Sub(now)}
+		b := Block{Part: p, With: t.presentAtAll(c, p), Except: t.answeredElsewhere(p), Left: newest(c).Add(BlockTime).Sub(now)}
 		if now.Sub(since) < objectionPeriod || !t.isSuspect(p) {
 			if _, ok := t.adopted[p]; ok || !t.isOnTrial(p, now) {
 				continue
--- a/internal/policy/quarantine/table_test.go
+++ b/internal/policy/quarantine/table_test.go
@@ -117,8 +117,8 @@
 		{"part that comes with the cause mostly", []event{
 			{0, ended("t1", "rare", "bad")}, {100 * ms, ended("t2", "rare", "bad")}, {200 * ms, ended("t3", "rare", "bad")}, {250 * ms, ended("t4", "bad")}, others,
 		}, 3 * second, map[string][]string{"bad": nil, "rare": {"bad"}}, nil, nil},
-		{"over after the block's time", append(threeEnds, others), blockTime + second, nil, nil, nil},
-		{"another end after the block's time", append(threeEnds, others, event{2 * second, Report{}}, event{blockTime + second, ended("t9", "bad")}), blockTime + 2*second, map[string][]string{"bad": nil}, nil, nil},
+		{"over after the block's time", append(threeEnds, others), BlockTime + second, nil, nil, nil},
+		{"another end after the block's time", append(threeEnds, others, event{2 * second, Report{}}, event{BlockTime + second, ended("t9", "bad")}), BlockTime + 2*second, map[string][]string{"bad": nil}, nil, nil},
 		{"blocks of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: Part{"lm", "bad"}, With: Parts("lm", []string{"x"}), Left: time.Minute}}}}}, second, map[string][]string{"bad": {"x"}}, nil, nil},
 		{"over, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: Part{"lm", "bad"}, Left: time.Minute}}}}}, 2 * time.Minute, nil, nil, nil},
 		{"answered, of an earlier leader", []event{{0, Report{Blocks: []Block{{Part: Part{"lm", "bad"}, Left: time.Minute}}}}, {second, answered("bad")}}, 2 * second, nil, nil, nil},
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -176,6 +176,10 @@
 		if err := h.addGroup(control.FleetGroup, h.fleet); err != nil {
 			return errors.Trace(err)
 		}
+		if err := h.loadQuarantine(); err != nil {
+			// The daemons report what they know of it.
+			h.Logger.WithError(err).Warn("the saved quarantine cannot be read")
+		}
 	}
 	for i := 1; i <= h.JobGroups; i++ {
 		if err := h.addJobGroup(uint32(i)); err != nil {
@@ -275,6 +279,7 @@
 		tasks.Go(func() { h.watcher.Run(work) })
 	} else {
 		tasks.Go(func() { h.bootstrap(work) })
+		tasks.Go(func() { h.saveQuarantine(work) })
 	}
 	if h.Directory != nil {
 		tasks.Go(func() { h.pollTargets(work) })
--- a/internal/role/replica/quarantine.go
+++ b/internal/role/replica/quarantine.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/storage/disk"
 )
 
 // Quarantine implements configuration.Source.
@@ -32,8 +35,105 @@
 	}
 }
 
+const (
+	// quarantineFile holds the blocks in the data folder.
+	quarantineFile = "quarantine"
+	// quarantineSaveInterval is how often a control host checks whether blocks are to be saved.
+	quarantineSaveInterval = 100 * time.Millisecond
+)
+
+// savedBlock is a block as it is kept on disk.
+type savedBlock struct {
+	Part   quarantine.Part
+	With   []quarantine.Part `msgpack:",omitempty"`
+	Except []string          `msgpack:",omitempty"`
+	Until  time.Time
+}
+
+// loadQuarantine reads the blocks that the host saved. They are in force again once it leads the
+// fleet group, as all daemons may have lost them.
+func (h *Host) loadQuarantine() error {
+	var saved []savedBlock
+	err := disk.ReadRecord(h.Data, quarantineFile, &saved)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	now := h.Clock.Now()
+	q := &h.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.at = now
+	for _, b := range saved {
+		// The time of day may have been set back since.
+		if left := min(b.Until.Sub(now), quarantine.BlockTime); left > 0 {
+			q.value.Blocks = append(q.value.Blocks, quarantine.Block{Part: b.Part, With: b.With, Except: b.Except, Left: left})
+		}
+	}
+	return nil
+}
+
+// saveQuarantine saves the blocks whenever they change, until ctx ends.
+func (h *Host) saveQuarantine(ctx context.Context) {
+	t := h.Clock.NewTicker(quarantineSaveInterval)
+	defer t.Stop()
+	var saved []quarantine.Block
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+			saved = h.saveBlocks(saved)
+		}
+	}
+}
+
+// saveBlocks saves the blocks if they differ from those that were saved last, and returns those that
+// are saved now.
+func (h *Host) saveBlocks(saved []quarantine.Block) []quarantine.Block {
+	blocks := withoutTrials(h.Quarantine(h.Clock.Now()).Blocks)
+	if slices.EqualFunc(blocks, saved, sameBlock) {
+		return saved
+	}
+	if err := h.writeQuarantine(blocks); err != nil {
+		h.Logger.WithError(err).Warn("saving the quarantine failed")
+		return saved
+	}
+	return blocks
+}
+
+// writeQuarantine writes blocks to the data folder.
+func (h *Host) writeQuarantine(blocks []quarantine.Block) error {
+	now := h.Clock.Now()
+	saved := make([]savedBlock, len(blocks))
+	for i, b := range blocks {
+		saved[i] = savedBlock{Part: b.Part, With: b.With, Except: b.Except, Until: now.Add(b.Left)}
+	}
+	return errors.Trace(disk.WriteRecord(h.Data, quarantineFile, saved))
+}
+
+// withoutTrials returns the blocks that are not for trial.
+func withoutTrials(blocks []quarantine.Block) []quarantine.Block {
+	return slices.DeleteFunc(slices.Clone(blocks), func(b quarantine.Block) bool { return b.Trial })
+}
+
+// beginQuarantine prepares the quarantine for a new term in which this host leads, and reports
+// whether it had to. The lock is held.
+func (h *Host) beginQuarantine(term uint64, now time.Time) bool {
+	q := &h.quarantine
+	known := withoutTrials(q.value.Aged(now.Sub(q.at)).Blocks)
+	table := &quarantine.Table{Clock: h.Clock}
+	if !q.begin(term, table, now) {
+		return false
+	}
+	table.Add(&quarantine.Report{Blocks: known})
+	return true
+}
+
 // updateQuarantine publishes the quarantine if this host leads the fleet group. A new leader
-// publishes an empty one, which makes the daemons report again.
+// first publishes an empty one, which makes the daemons report again.
 func (h *Host) updateQuarantine() {
 	term, leads := h.leadsFleet()
 	if !leads {
@@ -43,7 +143,7 @@
 	q := &h.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.begin(term, &quarantine.Table{Clock: h.Clock}, now) {
+	if h.beginQuarantine(term, now) {
 		h.notifier.Notify()
 		return
 	}
