ingress: continued streams are logged with the version of their target

Cause: during an incident streams went on at another software version than the one that began them. The logs show neither that a caller takes a stream up, nor which version continues it, here or within one response. Change: the list's version and the header Resumes are decoded; 'stream taken up' and 'stream resumed' have resumes, lastEvent, target and targetVersion, 'target listed' has version. Result: tests of platform, ingress and controller pass; nothing decides by the version yet.

--- a/dialect.go
+++ b/dialect.go
@@ -29,6 +29,9 @@
 	RequestID string
 	// Timeout is how long the caller waits; 0 means that the call does not say.
 	Timeout time.Duration
+	// Resumes is the ID of the caller's earlier attempt that received the first event of the stream
+	// that this call continues; empty if the call does not say.
+	Resumes string
 	// Job and Item are set on calls about batch jobs.
 	Job  string
 	Item string
@@ -135,6 +138,9 @@
 	AvailabilityZone string
 	Slots            int
 	Leaving          bool
+	// Version is that of the instance's software, empty if the list does not name it. Instances of
+	// several versions may serve side by side; they have no order.
+	Version string `msgpack:",omitempty"`
 }
 
 // Directory reads the platform's list of targets.
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -286,7 +286,7 @@
 	added.Client.OnRefused = func() { added.recordRefused(t.Clock.Now()) }
 	added.Client.OnResponse = added.recordResponse
 	t.targets[k] = added
-	t.Logger.WithFields(log.Fields{"target": x.ID, "address": x.Address.String(), "service": x.Service, "zone": x.AvailabilityZone}).Info("target listed")
+	t.Logger.WithFields(log.Fields{"target": x.ID, "address": x.Address.String(), "service": x.Service, "zone": x.AvailabilityZone, "version": x.Version}).Info("target listed")
 	return added
 }
 
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -24,11 +24,21 @@
 	if e := r.begin(a); e != nil {
 		return e
 	}
+	if id := a.x.HTTP.Request.Header.Peek(lastEventHeader); len(id) > 0 {
+		a.logContinuation("stream taken up", string(id))
+	}
 	a.copyHead()
 	a.x.HTTP.Response.SetBodyStream(r, -1)
 	return nil
 }
 
+// logContinuation logs that the attempt continues a stream; id is the last event so far.
+func (a *attempt) logContinuation(text, id string) {
+	f := a.x.fields(a.server.Clock.Now())
+	f["resumes"], f["lastEvent"], f["target"], f["targetVersion"] = a.x.Call.Resumes, id, a.target.Instance.ID, a.target.Instance.Version
+	a.server.Logger.WithFields(f).Info(text)
+}
+
 // streamBody is the body of a streamed response to the caller.
 type streamBody struct {
 	*attempt
@@ -128,6 +138,7 @@
 			}
 			if e = r.resumeOnce(); e == nil {
 				s.Counts.Resumed.Add(1)
+				r.logContinuation("stream resumed", id)
 				return true
 			}
 		}
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -154,7 +154,7 @@
 		leaving = -1
 	}
 	return cmp.Or(cmp.Compare(a.ID, b.ID), a.Address.Compare(b.Address), cmp.Compare(a.Service, b.Service),
-		cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.Slots, b.Slots), leaving)
+		cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.Slots, b.Slots), cmp.Compare(a.Version, b.Version), leaving)
 }
 
 // setTargets stores a list that was read from the platform.
