--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -43,6 +43,12 @@
 	client  *platformtest.Client
 	entries []netip.AddrPort
 	targets []*platformtest.Target
+	seeds   []netip.AddrPort // addresses of the control hosts
+	// directory reads the list of targets.
+	directory *platform.Directory
+	running   sync.WaitGroup
+	// stopEntries stops all entries.
+	stopEntries context.CancelFunc
 }
 
 // startFleet starts a fleet that runs until the test ends, and returns it once all entries serve.
@@ -69,42 +75,55 @@
 	qt.Assert(t, list.Start(), qt.IsNil)
 	t.Cleanup(list.Close)
 	ctx, stop := context.WithCancel(context.Background())
-	var running sync.WaitGroup
 	t.Cleanup(func() {
+		f.stopEntries()
 		stop()
-		running.Wait()
+		f.running.Wait()
 	})
-	var seeds []netip.AddrPort
 	var listeners []net.Listener
 	for range controlCount {
 		l := f.listen()
 		listeners = append(listeners, l)
-		seeds = append(seeds, l.Addr().(*net.TCPAddr).AddrPort())
+		f.seeds = append(f.seeds, l.Addr().(*net.TCPAddr).AddrPort())
 	}
 	clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.New()}
-	directory := &platform.Directory{Client: &target.Client{Address: list.Address()}}
+	f.directory = &platform.Directory{Client: &target.Client{Address: list.Address()}}
 	dir := t.TempDir()
 	for i, l := range listeners {
 		h := &replica.Host{
-			Data: filepath.Join(dir, fmt.Sprint(i)), Listen: seeds[i], Seeds: seeds, Listener: l, Name: fmt.Sprint(i), AvailabilityZone: "z",
-			ToleratedLosses: 1, JobGroups: 1, StoreGroups: 1, Directory: directory,
+			Data: filepath.Join(dir, fmt.Sprint(i)), Listen: f.seeds[i], Seeds: f.seeds, Listener: l, Name: fmt.Sprint(i), AvailabilityZone: "z",
+			ToleratedLosses: 1, JobGroups: 1, StoreGroups: 1, Directory: f.directory,
 			Clock: clock, Random: rand.New(rand.NewPCG(uint64(i), 1)), Logger: logger, Metrics: new(expvar.Map).Init(),
 		}
 		qt.Assert(t, h.Open(), qt.IsNil)
-		running.Go(func() { _ = h.Run(ctx) })
+		f.running.Go(func() { _ = h.Run(ctx) })
 	}
+	f.startEntries()
+	f.configure(ctx, &control.Client{Wire: wire.NewClient(nil), Hosts: f.seeds, Clock: clock})
+	f.awaitServing()
+	return f
+}
+
+// startEntries starts the entries.
+func (f *fleet) startEntries() {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stopEntries, f.entries = stop, nil
 	for i := range entryCount {
 		d := &entry.Direct{
-			Listener: f.listen(), Readiness: f.listen(), AvailabilityZone: "z", Control: seeds, Dialect: platform.Dialect{}, Directory: directory,
-			Wire: wire.NewClient(nil), Clock: clock, Random: rand.New(rand.NewPCG(uint64(i), 2)), Logger: logger, Metrics: new(expvar.Map).Init(),
-			MaxAge: 3 * time.Second, Grace: time.Second,
+			Listener: f.listen(), Readiness: f.listen(), AvailabilityZone: "z", Control: f.seeds, Dialect: platform.Dialect{}, Directory: f.directory,
+			Wire: wire.NewClient(nil), Clock: clockwork.NewRealClock(), Random: rand.New(rand.NewPCG(uint64(i), 2)), Logger: &log.Logger{Handler: discard.New()},
+			Metrics: new(expvar.Map).Init(), MaxAge: 3 * time.Second, Grace: time.Second,
 		}
 		f.entries = append(f.entries, d.Listener.Addr().(*net.TCPAddr).AddrPort())
-		running.Go(func() { _ = d.Run(ctx) })
+		f.running.Go(func() { _ = d.Run(ctx) })
 	}
-	f.configure(ctx, &control.Client{Wire: wire.NewClient(nil), Hosts: seeds, Clock: clock})
+}
+
+// restartEntries replaces all entries by new ones, which know nothing of the requests before.
+func (f *fleet) restartEntries() {
+	f.stopEntries()
+	f.startEntries()
 	f.awaitServing()
-	return f
 }
 
 // listen listens on a free loopback port.
