--- a/internal/controller/discovery/adopt.go
+++ b/internal/controller/discovery/adopt.go
@@ -64,9 +64,11 @@
 	delete(t.targets, keyOf(x.Instance))
 	x.Client.CloseIdle()
 	restarted := x.Instance
-	restarted.ID, restarted.Leaving = id, false
+	restarted.ID, restarted.Leaving, restarted.Version = id, false, ""
 	t.Logger.WithFields(log.Fields{"target": id, "address": k.address.String(), "earlier": x.Instance.ID}).Info("target restarted, ahead of the list")
-	return t.add(k, restarted)
+	added := t.add(k, restarted)
+	added.unlisted.Store(true)
+	return added
 }
 
 // adoptionPaused reports whether the address was not confirmed a short time ago.
@@ -90,10 +92,17 @@
 	for i, x := range list {
 		r[i] = x
 		if a, ok := t.adoptions[x.Address]; ok && x.ID == a.earlier && now.Before(a.until) {
-			r[i].ID, r[i].Leaving = a.current, false
+			r[i].ID, r[i].Leaving, r[i].Version = a.current, false, ""
 			kept[x.Address] = a
 		}
 	}
 	t.adoptions = kept
 	return r
 }
+
+// isAdopted reports whether the instance is in place of an earlier one that the list still shows. The
+// lock is held.
+func (t *Table) isAdopted(i rhubarbgate.Instance) bool {
+	a, ok := t.adoptions[i.Address]
+	return ok && a.current == i.ID
+}
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -21,6 +21,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 	"rhubarbgate.example/rhubarbgate/internal/policy/health"
+	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
 )
 
 const (
@@ -67,6 +68,8 @@
 	Strays *expvar.Int
 	// NamesService, if set, reports whether the configuration names a service; see Find.
 	NamesService func(service string) bool
+	// Versions, if set, follows the versions in the list.
+	Versions *versions.History
 	// Failures counts failed requests for the list, Unreadable the list's entries
 	// that were skipped, Opened new connections to targets, and Ejections targets
 	// that were ejected.
@@ -108,6 +111,11 @@
 	// instance's life, whatever the list shows: the list lags, and may be out of reach.
 	announcedLeaving atomic.Bool
 
+	// version is that of the instance's software. It is not known while the target is unlisted, as an
+	// adopted instance may be of another version than the earlier one.
+	version  atomic.Pointer[string]
+	unlisted atomic.Bool
+
 	inFlight atomic.Int64
 	load     atomic.Pointer[loadReport]
 	// refusedAt is when the target's port last refused a connection, nil after a response.
@@ -194,12 +202,24 @@
 		return
 	}
 	t.listRequestedAt = requestedAt
+	if t.Versions != nil {
+		t.Versions.Observe(list, requestedAt)
+	}
 	list = withoutRepetitions(t.withAdoptions(list))
 	present := map[targetKey]bool{}
 	for _, x := range list {
 		k := keyOf(x)
 		present[k] = true
 		current := t.targets[k]
+		if current != nil && current.unlisted.Load() && !t.isAdopted(x) {
+			current.version.Store(&x.Version)
+			current.unlisted.Store(false)
+		}
+		if current != nil && !current.unlisted.Load() && *current.version.Load() != x.Version {
+			// The instance restarted under its ID with other software.
+			current.Client.CloseIdle()
+			current = nil
+		}
 		if current == nil {
 			current = t.add(k, x)
 		}
@@ -254,6 +274,10 @@
 	t.Logger.WithFields(log.Fields{"target": x.Instance.ID, "address": x.Instance.Address.String()}).Info("target announced that it leaves")
 }
 
+// Version returns the version of the target's software, or false while the list does not show the
+// instance.
+func (x *Target) Version() (string, bool) { return *x.version.Load(), !x.unlisted.Load() }
+
 // Name identifies the target among all, as one instance at one address.
 func (x *Target) Name() string { return x.name }
 
@@ -283,6 +307,7 @@
 		Clock: t.Clock, CloseDelimited: true, Opened: t.Opened, IDHeader: t.IDHeader,
 		OnStray: func(s target.Stray) { t.RecordStray(x, s) },
 	}}
+	added.version.Store(&x.Version)
 	added.Client.OnRefused = func() { added.recordRefused(t.Clock.Now()) }
 	added.Client.OnResponse = added.recordResponse
 	t.targets[k] = added
@@ -308,6 +333,19 @@
 	return t.targets[keyOf(i)]
 }
 
+// TargetOf returns the target of the service's instance with this ID, or nil.
+func (t *Table) TargetOf(service, id string) *Target {
+	t.initialize()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for k, x := range t.targets {
+		if k.id == id && k.service == service {
+			return x
+		}
+	}
+	return nil
+}
+
 // Find returns the instance at an address, if it is listed. If the list has several there, it is
 // one of a service that the configuration names, that is not leaving, and that was listed first.
 func (t *Table) Find(address netip.AddrPort) (rhubarbgate.Instance, bool) {
@@ -332,6 +370,7 @@
 	}
 	instance := found.Instance
 	instance.Leaving = found.isLeaving()
+	instance.Version = *found.version.Load()
 	return instance, true
 }
 
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -13,6 +13,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 )
 
@@ -65,6 +66,12 @@
 	verdict rhubarbgate.Verdict
 	// resumed says that an earlier attempt passed on events.
 	resumed bool
+	// version is that of the software that began the stream which the request continues, if
+	// hasVersion is set. origin is the target that did, if this process knows it.
+	version      string
+	hasVersion   bool
+	origin       *discovery.Target
+	originSource streams.Source
 }
 
 // attempt is one sending of the request to one target.
@@ -82,6 +89,9 @@
 // if the request did not run or is repeatable.
 func (s *Server) forward(x *Exchange) error {
 	q := &forwardedRequest{server: s, x: x, service: s.chooseService(s.unblockedSplit(x))}
+	if err := q.findOrigin(); err != nil {
+		return err
+	}
 	q.request = s.targetRequest(x)
 	s.Limits.CountDemand(q.service)
 	var last *rhubarbgate.Error
@@ -192,10 +202,14 @@
 	if remaining <= 0 {
 		return nil, notRun(rhubarbgate.CodeOverloaded, "the deadline passed before a target was found")
 	}
-	list, candidates := s.Targets.Candidates(q.service, x.idempotent(), q.tried)
+	list, candidates := q.ofVersion(s.Targets.Candidates(q.service, x.idempotent(), q.tried))
 	retryUnreached := len(list) == 0 && len(q.unreached) > 0
 	if retryUnreached {
-		list, candidates = s.Targets.Candidates(q.service, x.idempotent(), without(q.tried, q.unreached...))
+		list, candidates = q.ofVersion(s.Targets.Candidates(q.service, x.idempotent(), without(q.tried, q.unreached...)))
+	}
+	if len(list) == 0 && len(q.tried) == 0 && (q.hasVersion || q.origin != nil) {
+		s.Counts.VersionsGone.Add(1)
+		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target of the version %q, which began the stream", q.service, q.version).WithRetryAfter(versionRetryAfter)
 	}
 	if len(list) == 0 {
 		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target left, %d tried", q.service, len(q.tried)).WithRetryAfter(noTargetRetryAfter)
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -21,6 +21,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -51,6 +52,8 @@
 	Crashes *crashes.Recorder
 	// Limits, if set, keeps the limits that targets state.
 	Limits *targetlimits.Keeper
+	// Streams, if set, remembers which software version began a stream.
+	Streams *streams.Keeper
 	// Stores calls the store hosts, which keep the batch jobs.
 	Stores *control.Client
 	Picker rhubarbgate.Picker
@@ -78,9 +81,10 @@
 // Counters are the expvar counters of a Server: requests received and refused, retries,
 // streams resumed at another target, responses that were truncated, requests that targets
 // refused, callers that disconnected, requests whose handling panicked, requests whose prompts
-// are blocked, and responses that were withheld because their status would promise that nothing ran.
+// are blocked, and responses that were withheld because their status would promise that nothing ran, and streams that callers
+// take up, and those of them that were refused because of their software version.
 type Counters struct {
-	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises *expvar.Int
+	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises, TakenUp, VersionsGone *expvar.Int
 }
 
 // NewCounters creates the counters and publishes them in m.
@@ -94,7 +98,7 @@
 		Requests: counter("Requests"), Refused: counter("Refused"), Retries: counter("Retries"), Resumed: counter("Resumed"), TruncatedResponses: counter("AnswersCut"),
 		TargetRefusals: counter("TargetsRefused"), DisconnectedCallers: counter("CallersLeft"),
 		Panics: counter("Panics"), Quarantined: counter("RequestsQuarantined"),
-		UnstatedPromises: counter("UnstatedPromises"),
+		UnstatedPromises: counter("UnstatedPromises"), TakenUp: counter("StreamsTakenUp"), VersionsGone: counter("StreamsRefusedByVersion"),
 	}
 }
 
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -26,6 +26,11 @@
 	}
 	if id := a.x.HTTP.Request.Header.Peek(lastEventHeader); len(id) > 0 {
 		a.logContinuation("stream taken up", string(id))
+	} else {
+		a.recordOrigin()
+	}
+	if !a.hasVersion && a.origin == nil {
+		a.origin = a.target
 	}
 	a.copyHead()
 	a.x.HTTP.Response.SetBodyStream(r, -1)
@@ -35,7 +40,9 @@
 // logContinuation logs that the attempt continues a stream; id is the last event so far.
 func (a *attempt) logContinuation(text, id string) {
 	f := a.x.fields(a.server.Clock.Now())
-	f["resumes"], f["lastEvent"], f["target"], f["targetVersion"] = a.x.Call.Resumes, id, a.target.Instance.ID, a.target.Instance.Version
+	version, _ := a.target.Version()
+	f["resumes"], f["lastEvent"], f["target"], f["targetVersion"] = a.x.Call.Resumes, id, a.target.Instance.ID, version
+	f["versionFrom"] = a.originSource.String()
 	a.server.Logger.WithFields(f).Info(text)
 }
 
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -20,11 +20,13 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
+	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
 	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
+	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -98,6 +100,8 @@
 	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
 	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
 	table := d.table()
+	table.Versions = &versions.History{Clock: d.Clock}
+	origins := streams.NewKeeper(d.Wire, d.Clock, table.Versions, d.Metrics)
 	keeper := targetlimits.NewKeeper(name, controls, d.Clock, d.Logger, d.Metrics)
 	recorder := crashes.NewRecorder(table, controls, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
@@ -106,6 +110,7 @@
 		Failures: newCounter(d.Metrics, "ConfigPollFailures"),
 		OnPeers: func(p control.Peers) {
 			controls.SetHosts(p.Controls)
+			origins.SetHosts(p.Controls)
 			stores.SetHosts(p.Stores)
 		},
 	}
@@ -116,7 +121,7 @@
 	}
 	exchange.Start()
 	d.server = &ingress.Server{
-		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Limits: keeper, Stores: stores,
+		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Limits: keeper, Streams: origins, Stores: stores,
 		Picker: &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
@@ -128,6 +133,7 @@
 	tasks.Go(func() { table.Run(work) })
 	tasks.Go(func() { recorder.Run(work) })
 	tasks.Go(func() { keeper.Run(work) })
+	tasks.Go(func() { origins.Run(work) })
 	tasks.Go(func() { exchange.Run(work) })
 	tasks.Go(func() { served <- d.server.Serve(d.Listener) })
 	tasks.Go(func() { served <- d.server.ServeReadiness(d.Readiness) })
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -26,10 +26,12 @@
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
 	"rhubarbgate.example/rhubarbgate/internal/controller/batch"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/order"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/peer"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -137,6 +139,7 @@
 	targets       atomic.Pointer[timedTargetList]
 	quarantine    published[control.Quarantine, quarantine.Table]
 	limits        published[[]apportion.Limit, apportion.Table]
+	streams       streams.Memory
 	nextLimitsAt  time.Time     // when updateTargetLimits next reads the table
 	groups        []*raft.Group // by group ID; the fleet group is nil on store hosts
 	jobGroups     []*leadership // by group ID - 1
@@ -171,6 +174,8 @@
 		h.followConfiguration()
 		h.groups = append(h.groups, nil)
 	} else {
+		h.streams.Clock, h.streams.History = h.Clock, &versions.History{Clock: h.Clock}
+		h.Metrics.Set("StreamsKept", expvar.Func(func() any { return h.streams.Len() }))
 		h.fleet = fleet.New()
 		h.fleet.Changed = func(*config.Config) { h.notifier.Notify() }
 		if err := h.addGroup(control.FleetGroup, h.fleet); err != nil {
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -170,6 +170,9 @@
 
 // replaceTargets stores the list, and wakes polling daemons if it has changed.
 func (h *Host) replaceTargets(x *timedTargetList) {
+	if h.streams.History != nil {
+		h.streams.History.Observe(x.list.Instances, x.at)
+	}
 	if old := h.targets.Swap(x); old == nil || old.list.Digest != x.list.Digest {
 		h.notifier.Notify()
 	}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -12,6 +12,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
 	"rhubarbgate.example/rhubarbgate/internal/state/burn"
 	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -36,6 +37,7 @@
 	MethodRetire   = "/control/Retire"
 	MethodCrashes  = "/control/Crashes"
 	MethodLimits   = "/control/ClaimLimits"
+	MethodStreams  = "/control/Streams"
 )
 
 // FleetGroup is the ID of the Raft group that holds the configuration and the list of
@@ -161,6 +163,35 @@
 	TrialGranted bool `msgpack:",omitempty"`
 }
 
+// StreamRecord says where a stream began.
+type StreamRecord struct {
+	// Stream identifies the stream among those of all callers.
+	Stream  string
+	Service string
+	// Version is that of the target's software. It is not known yet if the list does not show the
+	// Instance, see Listed.
+	Version  string `msgpack:",omitempty"`
+	Listed   bool   `msgpack:",omitempty"`
+	Instance string `msgpack:",omitempty"`
+}
+
+// Streams gives a control host records of streams to keep in memory, and asks for one.
+type Streams struct {
+	Began []StreamRecord `msgpack:",omitempty"`
+	// Find is the stream whose record to return, empty for none, and Services are those for which to
+	// return the versions.
+	Find     string   `msgpack:",omitempty"`
+	Services []string `msgpack:",omitempty"`
+}
+
+// StreamsReply is the reply to Streams.
+type StreamsReply struct {
+	// Known is for how long the host has kept records and followed the list of targets.
+	Known  time.Duration
+	Found  *StreamRecord     `msgpack:",omitempty"`
+	Listed []versions.Listed `msgpack:",omitempty"`
+}
+
 // TargetList is the platform's list of targets as a control host last read it.
 type TargetList struct {
 	// Digest is 0 until a list has been read.
