side: items go on only at the software version that wrote their output (ORDER)

What callers saw: nothing yet; found while looking for the same cause elsewhere. An item whose stream broke off goes on wherever its lease goes next, at whatever version. Cause: the partial output that goes with a lease does not say which version wrote it. Evidence: TestItemsStayAtTheirVersion: without the change the second run continues after event 5 at the other version, and at an instance that the list does not show yet. Fix: the output carries the version; a side of another one starts the item over. Result: the test failed before in two of three cases and passes; go test ./internal/role/side passes.

--- a/internal/role/side/continuation_test.go
+++ b/internal/role/side/continuation_test.go
@@ -74,3 +74,43 @@
 		qt.Check(t, string(o.Text), qt.Equals, string(test.want.Text), qt.Commentf(test.name))
 	}
 }
+
+// TestItemsStayAtTheirVersion guards against items whose output is joined from two software versions
+// of a service, when the lease moves on or the target is replaced.
+func TestItemsStayAtTheirVersion(t *testing.T) {
+	tests := []struct {
+		name      string
+		next      string // version that runs the second attempt; empty for one that the list lacks yet
+		lastEvent string // that the second attempt continues after
+	}{
+		{"same version", "v1", "5"},
+		{"another version", "v2", ""},
+		{"version not known yet", "", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := &platformtest.Target{Version: "v1", Fault: func(_ string, n int) platformtest.Fault {
+				if n == 1 {
+					return platformtest.CutStream
+				}
+				return platformtest.None
+			}}
+			w, task := newBatchOnlyWorker(t, x, clockwork.NewRealClock())
+			qt.Assert(t, w.streamItem(context.Background(), task) == nil, qt.IsFalse)
+			task.output = decodeOutput(task.output.encode())
+			earlier, _ := w.host.Targets.Find(x.Address())
+			x.Upgrade(test.next)
+			if test.next != "" {
+				w.host.Targets.Refresh(context.Background())
+			} else {
+				w.host.Targets.Confirm = func(context.Context, rhubarbgate.Instance) bool { return true }
+				w.host.Targets.Adopt(context.Background(), w.host.Targets.Target(earlier), "i-1-")
+			}
+			qt.Assert(t, w.streamItem(context.Background(), task) == nil, qt.IsTrue)
+			qt.Assert(t, string(task.output.Text), qt.Equals, platformtest.Output("item", 10))
+			runs := x.Runs()
+			qt.Assert(t, runs, qt.HasLen, 2)
+			qt.Assert(t, runs[1].LastEvent, qt.Equals, test.lastEvent)
+		})
+	}
+}
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -13,6 +13,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
+	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/http/events"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
@@ -38,6 +39,9 @@
 	LastID string
 	// Text is the data of all events, separated by line feeds.
 	Text []byte
+	// Version is that of the software that wrote Text, see softwareOf. Output of another version, or of
+	// one that an earlier build did not store, is not continued.
+	Version string `msgpack:",omitempty"`
 	// StartedOver says that the output that an earlier attempt stored must not be continued.
 	StartedOver bool `msgpack:"-"`
 }
@@ -102,6 +106,13 @@
 		t.returnDelay = min(blockedItemDelay, retryAfter)
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "targets of service %q end when they answer prompts with the part %s", i.Service, part)
 	}
+	if software := w.softwareOf(i); t.output.Version != software {
+		if t.output.LastID != "" {
+			w.logItem(t, "item starts over at another version", log.Fields{"version": t.output.Version, "targetVersion": software})
+			t.output = output{StartedOver: true}
+		}
+		t.output.Version = software
+	}
 	q := &target.Request{Method: http.MethodPost, Host: route.Path.Host, Path: item.Path, Body: item.Body, ID: item.ID, Idempotent: true}
 	own := h.Dialect.TargetHeaders(rhubarbgate.TargetCall{Request: item.ID, Instance: i.ID, Workspace: t.grant.Workspace})
 	if t.output.LastID != "" {
@@ -180,6 +191,17 @@
 	return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the target's answer broke off: %v", err)
 }
 
+// softwareOf returns the version of an instance's software. The name of an instance that the list does not
+// show yet stands for its version, which may be any.
+func (w *worker) softwareOf(i rhubarbgate.Instance) string {
+	if x := w.host.Targets.Target(i); x != nil {
+		if v, listed := x.Version(); listed {
+			return v
+		}
+	}
+	return "of " + discovery.TargetName(i)
+}
+
 // recordBreak records that the target broke off the response to an item.
 func (w *worker) recordBreak(t *task, i rhubarbgate.Instance, b crashes.Break) {
 	if b.Target = w.host.Targets.Target(i); b.Target == nil {
@@ -258,7 +280,7 @@
 			if err == events.ErrNoEvent && o.LastID != "" {
 				// The stream may have broken off behind its last event, so that nothing is left to
 				// continue; or the target lacks the rest. The next attempt shows which.
-				*o = output{StartedOver: true}
+				*o = output{StartedOver: true, Version: o.Version}
 			}
 			return brokenOff(err)
 		}
@@ -272,7 +294,7 @@
 		o.Text = append(o.Text, e.Data...)
 		if len(o.Text) > maxItemResponseBytes {
 			// Output that long is not the item's, so no other attempt may continue it.
-			*o = output{}
+			*o = output{Version: o.Version}
 			return rhubarbgate.Errorf(rhubarbgate.CodeUpstream, rhubarbgate.MayHaveRun, "the item's output has more than %d bytes", maxItemResponseBytes)
 		}
 		if id, ok := position.Resumable(); ok && id != "" {
