--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// repeatCrashingRequest sends a request that crashes targets again and again, each time with another
+// ID, from the time when a part of the run has passed until ctx is done.
+func (s *Soak) repeatCrashingRequest(ctx context.Context, random *rand.Rand) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	route := []string{"safe", "unsafe", "stream", "resume"}[random.IntN(4)]
+	interval := minCrashInterval + time.Duration(random.Int64N(int64(randomCrashInterval)))
+	wait := s.Duration / crashStartDivisor
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(wait):
+		}
+		wait = time.Duration(random.ExpFloat64() * float64(interval))
+		id, entry := fmt.Sprintf("repeated-%d", n), s.chooseEntry(random)
+		tasks.Go(func() {
+			s.sendBody(context.WithoutCancel(ctx), s.client, entry, route, id, "one", "key-one-a", callerTimeout, nil, crashBody)
+		})
+	}
+}
+
 // send sends one request without a prompt, as sendPrompt does.
 func (s *Soak) send(ctx context.Context, entry int, route, id, workspace, key string, timeout time.Duration) *sentRequest {
 	return s.sendPrompt(ctx, s.client, entry, route, id, workspace, key, timeout, nil)
@@ -77,6 +99,11 @@
 
 // sendPrompt sends one request to an entry and records the response that its caller received.
 func (s *Soak) sendPrompt(ctx context.Context, client *platformtest.Client, entry int, route, id, workspace, key string, timeout time.Duration, parts []string) *sentRequest {
+	return s.sendBody(ctx, client, entry, route, id, workspace, key, timeout, parts, id)
+}
+
+// sendBody is like sendPrompt, for a request with the given body.
+func (s *Soak) sendBody(ctx context.Context, client *platformtest.Client, entry int, route, id, workspace, key string, timeout time.Duration, parts []string, body string) *sentRequest {
 	p := s.entries[entry]
 	req := &sentRequest{id: id, entry: p, route: route, workspace: workspace, key: key, sentAt: s.Clock.Now()}
 	callCtx, cancel := deadline.WithTimeout(ctx, s.Clock, timeout)
@@ -84,7 +111,7 @@
 	s.mu.Lock()
 	stoppingAtStart, faultsAtStart := s.gracefullyStopping[p], s.faultCount
 	s.mu.Unlock()
-	req.response = client.SendPrompt(callCtx, netip.AddrPortFrom(p.address, callerPort), route, id, key, timeout, parts)
+	req.response = client.SendBody(callCtx, netip.AddrPortFrom(p.address, callerPort), route, id, key, timeout, parts, body)
 	// The entry applies the same timeout and may end the request slightly before the
 	// caller does, hence the margin of a tenth.
 	req.pastDeadline = callCtx.Err() != nil || s.Clock.Since(req.sentAt) > timeout*9/10
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -177,45 +177,71 @@
 	}
 }
 
-// Requests whose prompts crash targets must stop reaching them a time after the fifth crash.
+// Requests that crash targets must stop reaching them a time after the fifth crash with a part of a
+// prompt, and after the third with a request that comes again.
 const (
-	crashesBeforeNotice = 5
-	noticeTime          = 3 * time.Second
-	maxLateCrashingRuns = 3
+	partCrashesBeforeNotice = 5
+	bodyCrashesBeforeNotice = 3
+	noticeTime              = 3 * time.Second
+	maxLateCrashingRuns     = 3
 )
 
-// verifyCrashes checks that requests with crashPart stopped reaching targets, apart from those of
-// entries that were disturbed shortly before, or whose control hosts were. It returns how many
+// verifyCrashes checks that requests that crash targets stopped reaching them. It returns how many
 // crashes there were and how many requests came too late.
-func (s *Soak) verifyCrashes() (crashCount, late int) {
-	var crashes []time.Time
+func (s *Soak) verifyCrashes() (crashes, late int) {
+	for _, kind := range []struct {
+		name        string
+		beforeLimit int
+		isOf        func(body string) bool
+	}{
+		{"crashPart", partCrashesBeforeNotice, func(body string) bool { return body != crashBody }},
+		{"crashBody", bodyCrashesBeforeNotice, func(body string) bool { return body == crashBody }},
+	} {
+		c, l := s.countCrashes(kind.beforeLimit, kind.isOf)
+		if l > maxLateCrashingRuns {
+			s.history.addViolation("%d requests with %s reached targets later than %v after crash %d; %d crashes", l, kind.name, noticeTime, kind.beforeLimit, c)
+		}
+		crashes, late = crashes+c, late+l
+	}
+	return crashes, late
+}
+
+// countCrashes returns how many crashes requests of a kind caused, and how many of them reached targets
+// too late, apart from those of entries that were disturbed shortly before, or whose control
+// hosts were.
+func (s *Soak) countCrashes(beforeLimit int, isOf func(body string) bool) (crashes, late int) {
+	var arrivals []platformtest.Arrival
+	var crashedAt []time.Time
 	for _, t := range s.targets {
-		crashes = append(crashes, t.Crashes()...)
+		for _, r := range t.CrashingRuns() {
+			if !isOf(r.Body) {
+				continue
+			}
+			arrivals = append(arrivals, r)
+			if r.Crashed {
+				crashedAt = append(crashedAt, r.At.Add(crashDelay))
+			}
+		}
 	}
-	slices.SortFunc(crashes, time.Time.Compare)
-	if len(crashes) < crashesBeforeNotice {
-		return len(crashes), 0
+	slices.SortFunc(crashedAt, time.Time.Compare)
+	if len(crashedAt) < beforeLimit {
+		return len(crashedAt), 0
 	}
-	noticed := crashes[crashesBeforeNotice-1].Add(noticeTime)
+	noticed := crashedAt[beforeLimit-1].Add(noticeTime)
 	entries := map[string]*process{}
 	for _, req := range s.history.requests {
 		entries[req.id] = req.entry
 	}
-	for _, t := range s.targets {
-		for _, r := range t.CrashingRuns() {
-			watched := slices.Clone(s.controlHosts)
-			if e := entries[r.ID]; e != nil {
-				watched = append(watched, e)
-			}
-			if r.At.After(noticed) && !s.disturbed(watched, r.At.Add(-noticeTime), r.At) {
-				late++
-			}
+	for _, r := range arrivals {
+		watched := slices.Clone(s.controlHosts)
+		if e := entries[r.ID]; e != nil {
+			watched = append(watched, e)
+		}
+		if r.At.After(noticed) && !s.disturbed(watched, r.At.Add(-noticeTime), r.At) {
+			late++
 		}
 	}
-	if late > maxLateCrashingRuns {
-		s.history.addViolation("%d requests that crash targets reached one later than %v after the fifth crash; %d crashes", late, noticeTime, len(crashes))
-	}
-	return len(crashes), late
+	return len(crashedAt), late
 }
 
 // drainRequests is how many requests verifyDrain sends to each entry.
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -53,6 +53,8 @@
 	randomDowntime      = 3 * time.Second
 	commonParts         = 3
 	subjectParts        = 20
+	// crashBody is the body of a request that crashes targets and comes again under other IDs.
+	crashBody = "crash-body"
 	// targetLimit is the rate that a target states while it has a limit.
 	targetLimit = 4.0
 	// maxOddEntries and maxOddPeriod bound how many odd entries the list has at a time, and for how long.
@@ -150,12 +152,24 @@
 	}
 	jobs := rand.New(rand.NewPCG(s.Seed, 99))
 	tasks.Go(func() { s.submitJobs(loadCtx, jobs) })
-	crashing := rand.New(rand.NewPCG(s.Seed, 98))
+	crashing, repeating := rand.New(rand.NewPCG(s.Seed, 98)), rand.New(rand.NewPCG(s.Seed, 96))
+	sendsParts, sendsBodies := true, true
+	switch repeating.IntN(3) {
+	case 0:
+		sendsBodies = false
+	case 1:
+		sendsParts = false
+	}
 	if s.CrashingItem {
 		tasks.Go(func() { s.submitCrashingItem(loadCtx) })
-	} else {
+		sendsParts, sendsBodies = false, false
+	}
+	if sendsParts {
 		tasks.Go(func() { s.sendCrashingRequests(loadCtx, crashing) })
 	}
+	if sendsBodies {
+		tasks.Go(func() { s.repeatCrashingRequest(loadCtx, repeating) })
+	}
 	oddities := rand.New(rand.NewPCG(s.Seed, 97))
 	tasks.Go(func() { s.changeOddEntries(loadCtx, oddities) })
 	s.injectFaults(ctx)
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -94,7 +94,7 @@
 	t := &platformtest.Target{
 		Instance: fmt.Sprintf("i-%d", len(s.targets)), Service: platformtest.TargetService, Zone: availabilityZone(i), Slots: 8,
 		Events: streamEvents, Pace: eventInterval, PlainPrefixes: []string{"/safe/", "/unsafe/"},
-		CrashPart: crashPart, CrashItem: crashItem, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
+		CrashPart: crashPart, CrashItem: crashItem, CrashBodies: []string{crashBody}, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
 	}
 	behaviour := rand.New(rand.NewPCG(s.Seed, uint64(3000+len(s.targets))))
 	t.FailStatus, t.Stray = failStatuses[behaviour.IntN(len(failStatuses))], s.newStrays(behaviour)
