soak: targets of two software versions, and callers who take streams up (ORDER)

Cause: emulated targets had one version, and callers of the soak never continued a stream, so it could not show the fault. Change: targets have one of two versions and are upgraded at random, which ends their streams; callers close some streams and continue them at other entries. Each run that continues a stream must be of the version that began it.

--- a/internal/role/entry/version_test.go
+++ b/internal/role/entry/version_test.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	call := platformtest.StreamCall{Route: "resume", ID: fmt.Sprintf("begun-%d", n), Key: callerKey, Timeout: callerTimeout, MaxEvents: 3}
 	events, r := f.client.Stream(ctx, f.entries[n%len(f.entries)], call)
-	qt.Check(f.t, r.Err, qt.IsNil)
+	qt.Check(f.t, r.Err, qt.Equals, platformtest.ErrClosedByCaller)
 	qt.Check(f.t, len(events), qt.Equals, 3, qt.Commentf("status %d", r.Status))
 	between()
 	begun := f.versionOf(call.ID)
@@ -111,7 +111,7 @@
 func (f *fleet) replaceVersion(version, by string) {
 	for _, x := range f.targets {
 		if x.Version == version {
-			x.Upgrade(by)
+			qt.Assert(f.t, x.Upgrade(by), qt.IsNil)
 		}
 	}
 	time.Sleep(2 * time.Second)
--- a/internal/role/side/continuation_test.go
+++ b/internal/role/side/continuation_test.go
@@ -99,7 +99,7 @@
 			qt.Assert(t, w.streamItem(context.Background(), task) == nil, qt.IsFalse)
 			task.output = decodeOutput(task.output.encode())
 			earlier, _ := w.host.Targets.Find(x.Address())
-			x.Upgrade(test.next)
+			qt.Assert(t, x.Upgrade(test.next), qt.IsNil)
 			if test.next != "" {
 				w.host.Targets.Refresh(context.Background())
 			} else {
--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -37,7 +37,12 @@
 		}
 		id := fmt.Sprintf("c%d-%d", caller, n)
 		parts := []string{fmt.Sprintf("common-%d", random.IntN(commonParts)), fmt.Sprintf("subject-%d", random.IntN(subjectParts)), id}
-		req := s.sendPrompt(context.WithoutCancel(ctx), client, entry, routes[random.IntN(len(routes))], id, workspace, key, timeout, parts)
+		route := routes[random.IntN(len(routes))]
+		if route == "resume" && random.IntN(3) == 0 {
+			s.takeUpStream(context.WithoutCancel(ctx), random, id, workspace, key)
+			continue
+		}
+		req := s.sendPrompt(context.WithoutCancel(ctx), client, entry, route, id, workspace, key, timeout, parts)
 		if !keeps || req.response.Close || req.response.Err != nil {
 			entry = s.chooseEntry(random)
 		}
@@ -92,6 +97,34 @@
 	}
 }
 
+// takeUpStream begins a stream, closes the connection after some events, and continues it at another
+// entry.
+func (s *Soak) takeUpStream(ctx context.Context, random *rand.Rand, id, workspace, key string) {
+	call := platformtest.StreamCall{Route: "resume", ID: id, Key: key, Timeout: callerTimeout, MaxEvents: 1 + random.IntN(streamEvents-1)}
+	begun := s.sendStream(ctx, s.chooseEntry(random), workspace, call, nil)
+	if begun.events == 0 || begun.response.Err == nil {
+		return
+	}
+	s.Clock.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+	call.Resumes, call.ID, call.LastEvent, call.MaxEvents = id, id+"-on", begun.events, 0
+	s.sendStream(ctx, s.chooseEntry(random), workspace, call, begun)
+}
+
+// sendStream sends one request for a stream, which continues another if resumes is set.
+func (s *Soak) sendStream(ctx context.Context, entry int, workspace string, call platformtest.StreamCall, resumes *sentRequest) *sentRequest {
+	p := s.entries[entry]
+	req := &sentRequest{id: call.ID, entry: p, route: call.Route, workspace: workspace, key: call.Key, sentAt: s.Clock.Now(), resumes: resumes}
+	callCtx, cancel := deadline.WithTimeout(ctx, s.Clock, call.Timeout)
+	defer cancel()
+	var events []string
+	events, req.response = s.client.Stream(callCtx, netip.AddrPortFrom(p.address, callerPort), call)
+	req.events = len(events)
+	s.history.mu.Lock()
+	defer s.history.mu.Unlock()
+	s.history.requests = append(s.history.requests, req)
+	return req
+}
+
 // send sends one request without a prompt, as sendPrompt does.
 func (s *Soak) send(ctx context.Context, entry int, route, id, workspace, key string, timeout time.Duration) *sentRequest {
 	return s.sendPrompt(ctx, s.client, entry, route, id, workspace, key, timeout, nil)
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -26,6 +26,17 @@
 	// duringGracefulStop is set if the entry received SIGTERM and no other fault was
 	// injected while the request was in flight.
 	duringGracefulStop bool
+	// resumes is the request whose stream this one continues, and events how many arrived.
+	resumes *sentRequest
+	events  int
+}
+
+// version returns the version of the target that began the request's stream.
+func (q *sentRequest) version() string {
+	if q.resumes != nil {
+		return q.resumes.version()
+	}
+	return q.response.Version
 }
 
 // job is a batch job and the results that its caller has read.
@@ -144,7 +155,16 @@
 			h.addViolation("%s ran with a key that was withdrawn %v before", name, req.sentAt.Sub(withdrawnAt))
 		}
 	}
-	if want := responseBody(req.route, req.id); req.response.Err == nil && req.response.Status == 200 && req.response.Body != want {
+	for _, r := range runs {
+		if v := req.version(); r.LastEvent != "" && v != "" && r.Version != v {
+			h.addViolation("%s went on at version %s, its stream began at %s", name, r.Version, v)
+		}
+	}
+	after := 0
+	if req.resumes != nil {
+		after = req.resumes.events
+	}
+	if want := responseBody(req.route, req.id, after); req.response.Err == nil && req.response.Status == 200 && req.response.Body != want {
 		h.addViolation("%s got %q as a whole answer instead of %q", name, req.response.Body, want)
 	} else if req.response.Status == 200 && !strings.HasPrefix(want, req.response.Body) {
 		h.addViolation("%s got %q before its answer broke off, which is no part of %q", name, req.response.Body, want)
@@ -318,13 +338,13 @@
 	return most
 }
 
-// responseBody returns the complete response body of a request.
-func responseBody(route, id string) string {
+// responseBody returns the complete response body of a request that continues after the given event.
+func responseBody(route, id string, after int) string {
 	if route == "safe" || route == "unsafe" {
 		return "answer to " + id
 	}
 	var b strings.Builder
-	for i := 1; i <= streamEvents; i++ {
+	for i := after + 1; i <= streamEvents; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i, platformtest.EventData(id, i))
 	}
 	return b.String()
--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -183,6 +183,22 @@
 	t.SetLimit("")
 }
 
+// upgradeTargets gives targets the other software version, one after the other, until ctx is done.
+func (s *Soak) upgradeTargets(ctx context.Context, random *rand.Rand) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(time.Duration(random.Int64N(int64(maxUpgradePause)))):
+		}
+		t, version := s.targets[random.IntN(len(s.targets))], versionOf(random.IntN(2))
+		s.Logger.WithField("target", t.Instance).WithField("version", version).Info("upgrading target")
+		if err := t.Upgrade(version); err != nil {
+			s.Logger.WithError(err).Warn("the target stays down")
+		}
+	}
+}
+
 // changeOddEntries adds odd entries to the list of targets and removes them until ctx is done. Then
 // it adds maxOddEntries, which stay.
 func (s *Soak) changeOddEntries(ctx context.Context, random *rand.Rand) {
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -55,6 +55,8 @@
 	subjectParts        = 20
 	// crashBody is the body of a request that crashes targets and comes again under other IDs.
 	crashBody = "crash-body"
+	// maxUpgradePause bounds the time between two upgrades of targets. Targets have one of two versions.
+	maxUpgradePause = 6 * time.Second
 	// targetLimit is the rate that a target states while it has a limit.
 	targetLimit = 4.0
 	// maxOddEntries and maxOddPeriod bound how many odd entries the list has at a time, and for how long.
@@ -116,14 +118,15 @@
 
 // Report is the outcome of a run: how many requests were sent and served, how many jobs
 // were accepted, how many of their items are done, how many faults were injected, how often
-// requests crashed a target, how many such requests should not have reached one any more, and how
-// many responses targets sent out of turn.
+// requests crashed a target, how many such requests should not have reached one any more, how
+// many responses targets sent out of turn, and how many streams callers took up and how many of these went on.
 type Report struct {
 	Seed                         uint64
 	Requests, Served, Jobs, Done int
 	Faults                       int
 	Crashes, LateCrashingRuns    int
 	Strays                       int64
+	TakenUp, WentOn              int
 	// Broken lists the violated guarantees.
 	Broken []string
 }
@@ -170,6 +173,8 @@
 	if sendsBodies {
 		tasks.Go(func() { s.repeatCrashingRequest(loadCtx, repeating) })
 	}
+	upgrading := rand.New(rand.NewPCG(s.Seed, 95))
+	tasks.Go(func() { s.upgradeTargets(loadCtx, upgrading) })
 	oddities := rand.New(rand.NewPCG(s.Seed, 97))
 	tasks.Go(func() { s.changeOddEntries(loadCtx, oddities) })
 	s.injectFaults(ctx)
@@ -252,6 +257,12 @@
 		if req.response.Err == nil && req.response.Status == 200 {
 			r.Served++
 		}
+		if req.resumes != nil {
+			r.TakenUp++
+			if req.response.Status == 200 {
+				r.WentOn++
+			}
+		}
 	}
 	for _, j := range s.history.jobs {
 		if j.accepted {
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -86,6 +86,9 @@
 	return resumeFaults[random.IntN(len(resumeFaults))]
 }
 
+// versionOf returns one of the two software versions of targets.
+func versionOf(n int) string { return fmt.Sprintf("v%d", n%2+1) }
+
 // startTarget starts the emulated target of side i. About 10% of the first two attempts
 // of each request at this target get a random fault or a resumeFault; items with unrunnablePrefix always
 // get status 422.
@@ -94,7 +97,7 @@
 	t := &platformtest.Target{
 		Instance: fmt.Sprintf("i-%d", len(s.targets)), Service: platformtest.TargetService, Zone: availabilityZone(i), Slots: 8,
 		Events: streamEvents, Pace: eventInterval, PlainPrefixes: []string{"/safe/", "/unsafe/"},
-		CrashPart: crashPart, CrashItem: crashItem, CrashBodies: []string{crashBody}, CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
+		CrashPart: crashPart, CrashItem: crashItem, CrashBodies: []string{crashBody}, Version: versionOf(len(s.targets)), CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
 	}
 	behaviour := rand.New(rand.NewPCG(s.Seed, uint64(3000+len(s.targets))))
 	t.FailStatus, t.Stray = failStatuses[behaviour.IntN(len(failStatuses))], s.newStrays(behaviour)
