--- a/cmd/rhubarbgate/soak_test.go
+++ b/cmd/rhubarbgate/soak_test.go
@@ -14,6 +14,7 @@
 	seed, cause string
 }{
 	{"1", "an item at a silent target kept its lease for ever; a stream cut at its own deadline counted as cut by a stop"},
+	{"2", "a request that crashed targets and came again under other IDs was run again and again; a stream that its caller took up went on at another software version"},
 	{"202", "a refusal that a target wrote once more on a kept connection counted as the response to the next request"},
 	{"222", "a target's response that did not continue a stream became a part of it"},
 	{"233", "an odd entry of the list hid the others, so that an entry went on to use a target that was draining"},
