quarantine: operators list blocks and lift them

Cause: a wrong block, or one that a new release of the targets makes needless, lasted for up to 5 minutes, and nothing but logs showed it. Change: rhubarbgate quarantine list and lift, through a call to the leader of the fleet group. A lift forgets what counts against a part. Result: TestLift and TestLiftedBlock pass: a request whose targets survive it is refused before the lift and served after.

--- a/internal/command/rhubarbgate/command_test.go
+++ b/internal/command/rhubarbgate/command_test.go
@@ -27,6 +27,7 @@
 		{"control", []string{"control", "--members", "x=1", "--listen", "host:1"}, []string{"--data", "--id", "--credential", "--members", "--operators", "--listen"}},
 		{"entry", []string{"entry", "--control", "nowhere", "--picker", "best"}, []string{"--control", "--availability-zone", "--picker"}},
 		{"side", []string{"side", "--slots", "0", "--control", "127.0.0.1:1", "--listen", "10.1.2.3:7100"}, []string{"--target", "--target-name", "--availability-zone", "--slots", "--certificate"}},
+		{"quarantine", []string{"quarantine", "list", "--control", "nowhere", "--key", "k"}, []string{"--control", "--certificate"}},
 		{"unknown flag", []string{"entry", "--colour", "red"}, []string{"--colour"}},
 		{"load", []string{"load", "--rate", "0"}, []string{"--rate"}},
 	}
--- a/internal/policy/quarantine/request_test.go
+++ b/internal/policy/quarantine/request_test.go
@@ -78,3 +78,26 @@
 		})
 	}
 }
+
+// TestLift guards against a wrong block that an operator cannot end, and against one that is lifted
+// for good although targets end again.
+func TestLift(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := &Table{Clock: clock}
+	bad := RequestPart("w", "GET", "h", "/p", nil)
+	adopted := Report{Blocks: []Block{{Part: Part{"lm", "adopted"}, Left: time.Minute}}}
+	table.Add(&adopted)
+	endTwice := func() {
+		for range 2 {
+			clock.Advance(100 * time.Millisecond)
+			r := ended(clock.Now().String(), bad)
+			table.Add(&r)
+		}
+	}
+	endTwice()
+	qt.Assert(t, table.Blocks(), qt.HasLen, 2)
+	qt.Assert(t, table.Lift([]string{bad, "adopted", "unknown"}), qt.DeepEquals, []Part{{"lm", "adopted"}, {"lm", bad}})
+	qt.Assert(t, table.Blocks(), qt.HasLen, 0)
+	endTwice()
+	qt.Assert(t, table.Blocks(), qt.HasLen, 1)
+}
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -335,6 +335,32 @@
 	return r
 }
 
+// Lift forgets what counts against the parts with these IDs, as an answer to them does, and returns
+// those of which something was known, in order. Further ends count again.
+func (t *Table) Lift(ids []string) []Part {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	known := map[Part]bool{}
+	for _, c := range t.crashes {
+		for p := range c.parts {
+			known[p] = slices.Contains(ids, p.ID)
+			if known[p] {
+				delete(c.parts, p)
+			}
+		}
+	}
+	for p := range t.adopted {
+		known[p] = slices.Contains(ids, p.ID)
+		if known[p] {
+			delete(t.adopted, p)
+		}
+	}
+	maps.DeleteFunc(known, func(_ Part, lifted bool) bool { return !lifted })
+	t.update(now)
+	return slices.SortedFunc(maps.Keys(known), CompareParts)
+}
+
 // answeredElsewhere returns the other services whose targets have answered the part, in order. The
 // lock is held.
 func (t *Table) answeredElsewhere(part Part) []string {
--- a/internal/role/entry/repeat_test.go
+++ b/internal/role/entry/repeat_test.go
@@ -10,7 +10,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/platform/platformtest"
 )
 
@@ -155,3 +159,42 @@
 	r := f.client.SendBody(ctx, f.entries[entry], route, id, callerKey, callerTimeout, parts, body)
 	return r.Err == nil && r.Status == 200
 }
+
+// TestLiftedBlock guards against a block that outlives what an operator knows better: a release whose
+// targets survive the request.
+func TestLiftedBlock(t *testing.T) {
+	const body = "bad"
+	f := startFleetOf(t, 4, func(x *platformtest.Target) {
+		x.CrashPart, x.Downtime, x.CrashBodies = "", 300*time.Millisecond, []string{body}
+	})
+	operator := &control.Client{Wire: wire.NewClient(nil), Hosts: f.seeds, Clock: clockwork.NewRealClock()}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*noticeTime)
+	defer cancel()
+	n := 0
+	send := func() bool {
+		n++
+		f.sendBody(n%entryCount, "safe", fmt.Sprintf("sound-%d", n), nil, fmt.Sprintf("sound-%d", n))
+		return f.sendBody(n%entryCount, "safe", fmt.Sprintf("repeated-%d", n), nil, body)
+	}
+	var blocked []quarantine.Block
+	for len(blocked) == 0 || blocked[0].Trial {
+		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("the request is not blocked"))
+		send()
+		r, err := operator.Lift(ctx, nil)
+		qt.Assert(t, err, qt.IsNil)
+		blocked = r.Quarantine.Blocks
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, x := range f.targets {
+		x.SetCrashBodies(nil)
+	}
+	qt.Assert(t, send(), qt.IsFalse)
+	r, err := operator.Lift(ctx, []string{blocked[0].Part.ID})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Lifted, qt.HasLen, 1)
+	qt.Assert(t, r.Quarantine.Blocks, qt.HasLen, 0)
+	for !send() {
+		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("the request is not served"))
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/role/replica/quarantine.go
+++ b/internal/role/replica/quarantine.go
@@ -197,3 +197,18 @@
 	}
 	return &control.CrashesReply{Term: term, Released: released, TrialGranted: granted}, nil
 }
+
+// handleLift handles control.MethodLift on the leader of the fleet group.
+func (h *Host) handleLift(_ context.Context, in *control.Lift) (*control.LiftReply, error) {
+	term, leads := h.leadsFleet()
+	table := h.quarantine.tableOf(term)
+	if !leads || table == nil {
+		return &control.LiftReply{Routing: h.routing(control.FleetGroup)}, nil
+	}
+	lifted := table.Lift(in.Parts)
+	for _, p := range lifted {
+		h.Logger.WithFields(log.Fields{"service": p.Service, "part": p.ID}).Warn("block lifted by an operator")
+	}
+	h.updateQuarantine()
+	return &control.LiftReply{Lifted: lifted, Quarantine: h.Quarantine(h.Clock.Now())}, nil
+}
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -44,6 +44,7 @@
 		wire.Unary(m, control.MethodCommit, wire.Operators, h.commit)
 		wire.Unary(m, control.MethodRegister, wire.Controls, h.handleRegister)
 		wire.Unary(m, control.MethodCrashes, wire.Daemons, h.handleCrashes)
+		wire.Unary(m, control.MethodLift, wire.Operators, h.handleLift)
 		wire.Unary(m, control.MethodStreams, wire.Daemons, h.streams.Handle)
 		wire.Unary(m, control.MethodLimits, wire.Daemons, h.handleClaimLimits)
 		wire.Unary(m, control.MethodDocument, wire.Operators, h.document)
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -273,6 +273,11 @@
 	return call[CrashesReply](ctx, c, FleetGroup, MethodCrashes, in)
 }
 
+// Lift lifts blocks, and returns those that are in force then; without parts it only returns them.
+func (c *Client) Lift(ctx context.Context, parts []string) (*LiftReply, error) {
+	return call[LiftReply](ctx, c, FleetGroup, MethodLift, &Lift{parts})
+}
+
 // ClaimLimits claims parts of the targets' limits from the leader of the fleet group.
 func (c *Client) ClaimLimits(ctx context.Context, in *ClaimLimits) (*ClaimLimitsReply, error) {
 	return call[ClaimLimitsReply](ctx, c, FleetGroup, MethodLimits, in)
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -38,6 +38,7 @@
 	MethodCrashes  = "/control/Crashes"
 	MethodLimits   = "/control/ClaimLimits"
 	MethodStreams  = "/control/Streams"
+	MethodLift     = "/control/Lift"
 )
 
 // FleetGroup is the ID of the Raft group that holds the configuration and the list of
@@ -163,6 +164,17 @@
 	TrialGranted bool `msgpack:",omitempty"`
 }
 
+// Lift lifts the blocks of parts, by their IDs, at the leader of the fleet group.
+type Lift struct{ Parts []string }
+
+// LiftReply is the reply to Lift.
+type LiftReply struct {
+	Routing
+	// Lifted are the parts of which something was known, Quarantine is what is in force now.
+	Lifted     []quarantine.Part
+	Quarantine Quarantine
+}
+
 // StreamRecord says where a stream began.
 type StreamRecord struct {
 	// Stream identifies the stream among those of all callers.
