--- a/internal/controller/streams/keeper.go
+++ b/internal/controller/streams/keeper.go
@@ -68,7 +68,6 @@
 	mu      sync.Mutex
 	hosts   []netip.AddrPort
 	pending []control.StreamRecord
-	once    sync.Once
 	wake    chan struct{}
 }
 
