--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -39,7 +39,8 @@
 	// Answering is how long ago the first event of the response had come, 0 if none had.
 	Answering time.Duration
 	// Resumed says that an earlier target had begun to answer the request. That shows the prompt
-	// to be sound, so this break is no evidence against it.
+	// to be sound, so this break is no evidence against it. It is against the content: a request
+	// that ends its targets after some events ends each target that resumes it.
 	Resumed bool
 	// At is when the response broke off.
 	At time.Time
@@ -279,7 +280,11 @@
 
 // recordEnd records that the target of a break has ended.
 func (r *Recorder) recordEnd(b Break) {
-	if len(b.Parts) == 0 || b.Resumed {
+	parts := quarantine.Parts(b.Target.Instance.Service, b.Parts)
+	if b.Resumed {
+		parts = slices.DeleteFunc(parts, func(p quarantine.Part) bool { return !p.IsRequest() })
+	}
+	if len(parts) == 0 {
 		return
 	}
 	if b.Answering >= soundAfter {
@@ -295,7 +300,7 @@
 		r.ends = append(r.ends, &end{target: name, at: b.At})
 	}
 	e := r.ends[i]
-	for _, p := range quarantine.Parts(b.Target.Instance.Service, b.Parts) {
+	for _, p := range parts {
 		if !slices.Contains(e.parts, p) {
 			e.parts = append(e.parts, p)
 			e.reportedTerm = 0
--- a/internal/role/entry/repeat_test.go
+++ b/internal/role/entry/repeat_test.go
@@ -33,19 +33,21 @@
 		name     string
 		targets  int
 		downtime time.Duration
+		events   int // before the crash
 		bad      []repeatedCaller
 	}{
-		{"without a prompt, few targets", 4, 2500 * ms, []repeatedCaller{{"safe", "bad-1", nil, 100 * ms}}},
-		{"two at once, few targets", 4, 1500 * ms, []repeatedCaller{{"safe", "bad-1", nil, 100 * ms}, {"safe", "bad-2", nil, 130 * ms}}},
-		{"not repeatable", 6, 1500 * ms, []repeatedCaller{{"unsafe", "bad-1", nil, 150 * ms}}},
-		{"with a prompt, resumable and not", 8, 1500 * ms, []repeatedCaller{{"resume", "bad-1", []string{"common", "own"}, 200 * ms}, {"stream", "bad-2", []string{"common", "other"}, 200 * ms}}},
-		{"seldom", 4, 500 * ms, []repeatedCaller{{"safe", "bad-1", nil, 2500 * ms}}},
+		{"without a prompt, few targets", 4, 2500 * ms, 0, []repeatedCaller{{"safe", "bad-1", nil, 100 * ms}}},
+		{"two at once, few targets", 4, 1500 * ms, 0, []repeatedCaller{{"safe", "bad-1", nil, 100 * ms}, {"safe", "bad-2", nil, 130 * ms}}},
+		{"not repeatable", 6, 1500 * ms, 0, []repeatedCaller{{"unsafe", "bad-1", nil, 150 * ms}}},
+		{"with a prompt, resumable and not", 8, 1500 * ms, 0, []repeatedCaller{{"resume", "bad-1", []string{"common", "own"}, 200 * ms}, {"stream", "bad-2", []string{"common", "other"}, 200 * ms}}},
+		{"seldom", 4, 500 * ms, 0, []repeatedCaller{{"safe", "bad-1", nil, 2500 * ms}}},
+		{"seldom, after some events", 8, 500 * ms, 2, []repeatedCaller{{"resume", "bad-1", []string{"common", "own"}, 3500 * ms}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			f := startFleetOf(t, test.targets, func(x *platformtest.Target) {
-				x.CrashPart, x.CrashDelay, x.Downtime = "", 80*ms, test.downtime
+				x.CrashPart, x.CrashDelay, x.Downtime, x.CrashEvents = "", 80*ms, test.downtime, test.events
 				x.PlainPrefixes = []string{"/safe/", "/unsafe/"}
 				for _, b := range test.bad {
 					x.CrashBodies = append(x.CrashBodies, b.body)
