--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -407,11 +407,18 @@
 	return a.response.Unframed() && a.server.Targets.HasEnded(a.x.Context, a.target)
 }
 
-// recordAnswer records that the target answered the request completely.
+// recordAnswer records that the target answered the request completely. A failure of the target is no
+// answer, as it may not have begun to run the request. One of the request says nothing of
+// its prompt, which the target may not have read.
 func (a *attempt) recordAnswer() {
-	if a.response.Status == fasthttp.StatusOK {
-		a.server.Crashes.RecordAnswer(a.target.Instance.Service, a.x.parts())
+	parts := a.x.parts()
+	switch {
+	case a.response.Status >= fasthttp.StatusInternalServerError || a.head.ReadAsNotRun:
+		return
+	case a.response.Status != fasthttp.StatusOK:
+		parts = parts[len(parts)-1:] // the request's content
 	}
+	a.server.Crashes.RecordAnswer(a.target.Instance.Service, parts)
 }
 
 // recordBreak records that the target broke off the response with the error e.
