discovery: the version of a target that was down is unknown until a later list (ORDER)

A target may start again under its ID and address with other software, while the list still shows it as it was. Cause: an entry took the listed version for that of the process that responds. Evidence: TestVersionOfTargets, case 'was down': v1 without the change. Fix: after a refused connection the version is unknown until a list that was read 3 s later. The version of a stream is that at its beginning, no longer looked up at its target. Result: TestVersionOfTargets and the tests of streams pass; an entry that sees no refused connection is not covered.

--- a/internal/controller/discovery/ended.go
+++ b/internal/controller/discovery/ended.go
@@ -15,12 +15,18 @@
 	// downRetryInterval is how long a target whose port refuses connections is left out before
 	// a request tries it again. A crash breaks off all of its responses within milliseconds.
 	downRetryInterval = 300 * time.Millisecond
+	// restartListLag is how long after a target was down the list may still show it as it was before. It
+	// covers the lag of the platform's list.
+	restartListLag = 3 * time.Second
 	// endedRedialInterval is the time after which a lost opening packet is sent again.
 	endedRedialInterval = 80 * time.Millisecond
 )
 
 // recordRefused records that the target's port refused a connection.
-func (x *Target) recordRefused(now time.Time) { x.refusedAt.Store(&now) }
+func (x *Target) recordRefused(now time.Time) {
+	x.refusedAt.Store(&now)
+	x.downAt.Store(&now)
+}
 
 // recordResponse records that the target responded.
 func (x *Target) recordResponse() {
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -112,9 +112,11 @@
 	announcedLeaving atomic.Bool
 
 	// version is that of the instance's software. It is not known while the target is unlisted, as an
-	// adopted instance may be of another version than the earlier one.
+	// adopted instance may be of another version than the earlier one, nor after the target was down
+	// at downAt, as it may have restarted under its ID.
 	version  atomic.Pointer[string]
 	unlisted atomic.Bool
+	downAt   atomic.Pointer[time.Time]
 
 	inFlight atomic.Int64
 	load     atomic.Pointer[loadReport]
@@ -223,6 +225,9 @@
 		if current == nil {
 			current = t.add(k, x)
 		}
+		if down := current.downAt.Load(); down != nil && requestedAt.Sub(*down) >= restartListLag {
+			current.downAt.CompareAndSwap(down, nil)
+		}
 		wasLeaving := current.leaving.Swap(x.Leaving)
 		if wasLeaving && !x.Leaving && current.announcedLeaving.Load() {
 			// The instance restarted under its ID.
@@ -274,9 +279,11 @@
 	t.Logger.WithFields(log.Fields{"target": x.Instance.ID, "address": x.Instance.Address.String()}).Info("target announced that it leaves")
 }
 
-// Version returns the version of the target's software, or false while the list does not show the
-// instance.
-func (x *Target) Version() (string, bool) { return *x.version.Load(), !x.unlisted.Load() }
+// Version returns the version of the target's software, or false until a list shows the instance that
+// was read long enough after it started.
+func (x *Target) Version() (string, bool) {
+	return *x.version.Load(), !x.unlisted.Load() && x.downAt.Load() == nil
+}
 
 // Name identifies the target among all, as one instance at one address.
 func (x *Target) Name() string { return x.name }
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -67,7 +67,7 @@
 	// resumed says that an earlier attempt passed on events.
 	resumed bool
 	// version is that of the software that began the stream which the request continues, if
-	// hasVersion is set. origin is the target that did, if this process knows it.
+	// hasVersion is set. Otherwise it is that of origin, once the list shows it.
 	version      string
 	hasVersion   bool
 	origin       *discovery.Target
--- a/internal/http/ingress/origin.go
+++ b/internal/http/ingress/origin.go
@@ -94,18 +94,26 @@
 // continues one: its software is of the version that began it.
 func (q *forwardedRequest) mayContinue(t *discovery.Target) bool {
 	version, known := q.version, q.hasVersion
-	if q.origin != nil {
-		if t == q.origin {
-			return true
-		}
+	switch {
+	case q.origin != nil:
 		version, known = q.origin.Version()
-	} else if !known {
+	case !known:
 		return true
 	}
 	v, listed := t.Version()
 	return known && listed && v == version
 }
 
+// begin records that the target has begun the request's stream, so that only its version continues it.
+func (q *forwardedRequest) begin(t *discovery.Target) {
+	if q.hasVersion || q.origin != nil {
+		return
+	}
+	if q.version, q.hasVersion = t.Version(); !q.hasVersion {
+		q.origin = t
+	}
+}
+
 // ofVersion returns the targets that may continue the stream.
 func (q *forwardedRequest) ofVersion(list []*discovery.Target, candidates []rhubarbgate.Candidate) ([]*discovery.Target, []rhubarbgate.Candidate) {
 	if q.origin == nil && !q.hasVersion {
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -29,9 +29,7 @@
 	} else {
 		a.recordOrigin()
 	}
-	if !a.hasVersion && a.origin == nil {
-		a.origin = a.target
-	}
+	a.forwardedRequest.begin(a.target)
 	a.copyHead()
 	a.x.HTTP.Response.SetBodyStream(r, -1)
 	return nil
