--- a/internal/policy/quarantine/request.go
+++ b/internal/policy/quarantine/request.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -51,61 +50,56 @@
 	at   time.Time
 }
 
-// isExplained reports whether the end of a target counts against a blocked request instead of
-// another request. It still counts against parts of prompts, which the blocked one may have.
-// The lock is held.
-func (t *Table) isExplained(c *crash, part Part) bool {
-	if !part.IsRequest() {
-		return false
-	}
-	for p := range t.guilty {
-		if p != part && c.parts[p] {
-			return true
-		}
-	}
-	return false
-}
-
 // isRequestSuspect reports whether targets ended with a request time and again. The lock is held.
 func (t *Table) isRequestSuspect(part Part, now time.Time) bool {
 	c := t.counted(part)
 	return len(c) >= minRequestEnds && now.Sub(newest(c)) < BlockTime
 }
 
-// findGuilty finds the requests to block, given the number of ends of targets for each part. The
-// request that was at most ends comes first, as it explains the ends of those beside it. The lock is held.
-func (t *Table) findGuilty(ends map[Part]int, now time.Time) {
-	t.guilty = map[Part]bool{}
-	byEnds := slices.SortedFunc(maps.Keys(t.suspected), func(a, b Part) int {
-		return cmp.Or(cmp.Compare(ends[b], ends[a]), CompareParts(a, b))
-	})
-	for _, p := range byEnds {
-		if p.IsRequest() && ends[p] >= minGuiltyEnds && t.isGuilty(p, now) {
+// updateGuilty updates the requests to block, given the number of ends of targets for each part. The
+// lock is held.
+func (t *Table) updateGuilty(ends map[Part]int, now time.Time) {
+	maps.DeleteFunc(t.guilty, func(p Part, _ bool) bool { return !t.isRequestSuspect(p, now) })
+	for p := range t.suspected {
+		if p.IsRequest() && ends[p] >= minGuiltyEnds && t.isGuilty(p) {
 			t.guilty[p] = true
 		}
 	}
 }
 
-// isGuilty reports whether a request is blocked: its trial ended the target too, while others were
+// isGuilty reports whether to block a request: its trial ended the target too, while others were
 // answered or time and again. The lock is held.
-func (t *Table) isGuilty(part Part, now time.Time) bool {
+func (t *Table) isGuilty(part Part) bool {
 	c := t.counted(part)
-	if len(c) < minGuiltyEnds || now.Sub(newest(c)) >= BlockTime {
+	if len(c) < minGuiltyEnds {
 		return false
 	}
 	failed := t.countFailedTrials(part)
 	return failed >= minFailedTrials || failed > 0 && t.answers[Part{part.Service, AnyPart}].After(oldest(c))
 }
 
-// countFailedTrials returns how many trials of a request ended their targets. The lock is held.
+// countFailedTrials returns how many trials of a request ended their targets. An end at which another
+// suspected request was present too does not show which of them was the cause. The lock is held.
 func (t *Table) countFailedTrials(part Part) int {
 	n := t.failedTrials[part]
-	if at, ok := t.trials[part]; ok && newest(t.counted(part)).After(at) {
+	at, ok := t.trials[part]
+	if ok && slices.ContainsFunc(t.counted(part), func(c *crash) bool { return c.at.After(at) && !t.hasOtherSuspect(c, part) }) {
 		n++
 	}
 	return n
 }
 
+// hasOtherSuspect reports whether another suspected request was present at the end of a target. The
+// lock is held.
+func (t *Table) hasOtherSuspect(c *crash, part Part) bool {
+	for p := range t.suspected {
+		if p.IsRequest() && p != part && c.parts[p] {
+			return true
+		}
+	}
+	return false
+}
+
 // mayTryRequest reports whether a request may be sent as a trial. The requests that were sent before
 // it was suspected have an outcome by then, and so has the newest trial of another request at
 // the service: a target that ends during two trials would show neither to be the cause. The lock is held.
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -142,9 +142,8 @@
 	failedTrials map[Part]int
 	// requestTrials holds the newest trial of a request by service, since one is under way at a time.
 	requestTrials map[string]requestTrial
-	// guilty are the requests that are blocked. update sets it.
-	guilty  map[Part]bool
-	adopted map[Part]adoptedBlock
+	guilty        map[Part]bool // requests that are blocked
+	adopted       map[Part]adoptedBlock
 }
 
 // Add merges a report, and returns the parts of its Blocks that are not blocked any more because
@@ -154,6 +153,7 @@
 	defer t.mu.Unlock()
 	if t.answers == nil {
 		t.answers, t.suspected, t.trials, t.adopted = map[Part]time.Time{}, map[Part]time.Time{}, map[Part]time.Time{}, map[Part]adoptedBlock{}
+		t.guilty = map[Part]bool{}
 		t.failedTrials, t.requestTrials = map[Part]int{}, map[string]requestTrial{}
 	}
 	now := t.Clock.Now()
@@ -216,7 +216,6 @@
 		ids[p.ID] = true
 	}
 	maps.DeleteFunc(t.answers, func(p Part, _ time.Time) bool { return p.ID != AnyPart && !ids[p.ID] })
-	t.findGuilty(crashes, now)
 	isSuspected := func(p Part) bool {
 		if p.IsRequest() {
 			return crashes[p] >= minRequestEnds && t.isRequestSuspect(p, now)
@@ -229,6 +228,7 @@
 			t.suspected[p] = now
 		}
 	}
+	t.updateGuilty(crashes, now)
 	maps.DeleteFunc(t.trials, func(p Part, _ time.Time) bool { return t.suspected[p].IsZero() })
 	maps.DeleteFunc(t.failedTrials, func(p Part, _ int) bool { return t.suspected[p].IsZero() })
 }
@@ -239,7 +239,7 @@
 	var r []*crash
 	answered := t.answers[part]
 	for _, c := range t.crashes {
-		if c.parts[part] && c.at.After(answered.Add(answerMargin)) && !t.isExplained(c, part) {
+		if c.parts[part] && c.at.After(answered.Add(answerMargin)) {
 			r = append(r, c)
 		}
 	}
--- a/internal/role/entry/repeat_test.go
+++ b/internal/role/entry/repeat_test.go
@@ -40,6 +40,8 @@
 		{"two at once, few targets", 4, 1500 * ms, 0, []repeatedCaller{{"safe", "bad-1", nil, 100 * ms}, {"safe", "bad-2", nil, 130 * ms}}},
 		{"not repeatable", 6, 1500 * ms, 0, []repeatedCaller{{"unsafe", "bad-1", nil, 150 * ms}}},
 		{"with a prompt, resumable and not", 8, 1500 * ms, 0, []repeatedCaller{{"resume", "bad-1", []string{"common", "own"}, 200 * ms}, {"stream", "bad-2", []string{"common", "other"}, 200 * ms}}},
+		{"five at once", 4, 2500 * ms, 0, []repeatedCaller{{"safe", "bad-1", nil, 200 * ms}, {"safe", "bad-2", nil, 230 * ms}, {"unsafe", "bad-3", nil, 270 * ms}, {"safe", "bad-4", nil, 310 * ms}, {"resume", "bad-5", nil, 350 * ms}}},
+		{"five at once, many targets", 12, 2500 * ms, 0, []repeatedCaller{{"safe", "bad-1", nil, 200 * ms}, {"safe", "bad-2", nil, 230 * ms}, {"unsafe", "bad-3", nil, 270 * ms}, {"safe", "bad-4", nil, 310 * ms}, {"resume", "bad-5", nil, 350 * ms}}},
 		{"seldom", 4, 500 * ms, 0, []repeatedCaller{{"safe", "bad-1", nil, 2500 * ms}}},
 		{"seldom, after some events", 8, 500 * ms, 2, []repeatedCaller{{"resume", "bad-1", []string{"common", "own"}, 3500 * ms}}},
 	}
