streams: questions to control hosts are not cancelled by the first reply

Cause: Find returned with the first record and cancelled its calls to the other hosts, which can cost their pooled connections.

--- a/internal/controller/streams/keeper.go
+++ b/internal/controller/streams/keeper.go
@@ -149,14 +149,15 @@
 // window, if each had one: streams that began while there were several have a record.
 func (k *Keeper) Find(ctx context.Context, stream string, services []string, window time.Duration) Origin {
 	k.Finds.Add(1)
-	ctx, cancel := deadline.WithTimeout(ctx, k.Clock, findTimeout)
-	defer cancel()
 	k.mu.Lock()
 	hosts := k.hosts
 	k.mu.Unlock()
 	replies := make(chan *control.StreamsReply, len(hosts))
 	for _, a := range hosts {
 		go func() {
+			// A call that is cancelled costs its connection, so that those of slower hosts go on.
+			ctx, cancel := deadline.WithTimeout(context.WithoutCancel(ctx), k.Clock, findTimeout)
+			defer cancel()
 			r, err := wire.Call[control.StreamsReply](ctx, k.Wire, a, control.MethodStreams, &control.Streams{Find: stream, Services: services})
 			if err != nil {
 				r = nil // the others know as much
