--- a/internal/policy/quarantine/request.go
+++ b/internal/policy/quarantine/request.go
@@ -14,8 +14,8 @@
 	// minRequestEnds is at how many ends of targets a request must have been, with no answer to it
 	// since, before it is sent only as a trial. One end is also that of the requests beside it.
 	minRequestEnds = 2
-	// minGuiltyEnds is at how many ends, that of a trial included, a request is blocked.
-	minGuiltyEnds = 3
+	// minBlockEnds is at how many ends, that of a trial included, a request is blocked.
+	minBlockEnds = 3
 	// minFailedTrials is after how many trials that ended their targets a request is blocked
 	// although the targets have answered no other since.
 	minFailedTrials = 2
@@ -56,22 +56,22 @@
 	return len(c) >= minRequestEnds && now.Sub(newest(c)) < BlockTime
 }
 
-// updateGuilty updates the requests to block, given the number of ends of targets for each part. The
+// updateBlockedRequests updates the requests to block, given the number of ends of targets for each part. The
 // lock is held.
-func (t *Table) updateGuilty(ends map[Part]int, now time.Time) {
-	maps.DeleteFunc(t.guilty, func(p Part, _ bool) bool { return !t.isRequestSuspect(p, now) })
+func (t *Table) updateBlockedRequests(ends map[Part]int, now time.Time) {
+	maps.DeleteFunc(t.blockedRequests, func(p Part, _ bool) bool { return !t.isRequestSuspect(p, now) })
 	for p := range t.suspected {
-		if p.IsRequest() && ends[p] >= minGuiltyEnds && t.isGuilty(p) {
-			t.guilty[p] = true
+		if p.IsRequest() && ends[p] >= minBlockEnds && t.shouldBlock(p) {
+			t.blockedRequests[p] = true
 		}
 	}
 }
 
-// isGuilty reports whether to block a request: its trial ended the target too, while others were
+// shouldBlock reports whether to block a request: its trial ended the target too, while others were
 // answered or time and again. The lock is held.
-func (t *Table) isGuilty(part Part) bool {
+func (t *Table) shouldBlock(part Part) bool {
 	c := t.counted(part)
-	if len(c) < minGuiltyEnds {
+	if len(c) < minBlockEnds {
 		return false
 	}
 	failed := t.countFailedTrials(part)
@@ -104,7 +104,7 @@
 // it was suspected have an outcome by then, and so has the newest trial of another request at
 // the service: a target that ends during two trials would show neither to be the cause. The lock is held.
 func (t *Table) mayTryRequest(part Part, now time.Time) bool {
-	if t.guilty[part] || now.Sub(newest(t.counted(part))) < TrialInterval {
+	if t.blockedRequests[part] || now.Sub(newest(t.counted(part))) < TrialInterval {
 		return false
 	}
 	last, ok := t.requestTrials[part.Service]
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -141,9 +141,9 @@
 	// failedTrials counts the trials of a request, before the newest, that ended their targets.
 	failedTrials map[Part]int
 	// requestTrials holds the newest trial of a request by service, since one is under way at a time.
-	requestTrials map[string]requestTrial
-	guilty        map[Part]bool // requests that are blocked
-	adopted       map[Part]adoptedBlock
+	requestTrials   map[string]requestTrial
+	blockedRequests map[Part]bool
+	adopted         map[Part]adoptedBlock
 }
 
 // Add merges a report, and returns the parts of its Blocks that are not blocked any more because
@@ -153,7 +153,7 @@
 	defer t.mu.Unlock()
 	if t.answers == nil {
 		t.answers, t.suspected, t.trials, t.adopted = map[Part]time.Time{}, map[Part]time.Time{}, map[Part]time.Time{}, map[Part]adoptedBlock{}
-		t.guilty = map[Part]bool{}
+		t.blockedRequests = map[Part]bool{}
 		t.failedTrials, t.requestTrials = map[Part]int{}, map[string]requestTrial{}
 	}
 	now := t.Clock.Now()
@@ -228,7 +228,7 @@
 			t.suspected[p] = now
 		}
 	}
-	t.updateGuilty(crashes, now)
+	t.updateBlockedRequests(crashes, now)
 	maps.DeleteFunc(t.trials, func(p Part, _ time.Time) bool { return t.suspected[p].IsZero() })
 	maps.DeleteFunc(t.failedTrials, func(p Part, _ int) bool { return t.suspected[p].IsZero() })
 }
@@ -310,8 +310,8 @@
 	for p, since := range t.suspected {
 		c := t.counted(p)
 		if p.IsRequest() {
-			if _, ok := t.adopted[p]; !ok || t.guilty[p] {
-				r = append(r, Block{Part: p, Except: t.answeredElsewhere(p), Trial: !t.guilty[p], Left: newest(c).Add(BlockTime).Sub(now)})
+			if _, ok := t.adopted[p]; !ok || t.blockedRequests[p] {
+				r = append(r, Block{Part: p, Except: t.answeredElsewhere(p), Trial: !t.blockedRequests[p], Left: newest(c).Add(BlockTime).Sub(now)})
 			}
 			continue
 		}
