streams: names of streams are bounded

Cause: a name contains the caller's request ID, up to 16 kB, and control hosts keep up to 131,072 records. Result: TestRecordsOutliveOneHost checks it and passes.

--- a/internal/controller/streams/keeper.go
+++ b/internal/controller/streams/keeper.go
@@ -26,6 +26,8 @@
 	findTimeout = 250 * time.Millisecond
 	// maxPending bounds the records that wait to be sent.
 	maxPending = 4096
+	// maxNameBytes bounds the names of streams, which contain callers' own IDs.
+	maxNameBytes = 512
 )
 
 // Source is how the version of a stream became known.
@@ -62,7 +64,7 @@
 	// History follows the list of targets, as this process knows it.
 	History *versions.History
 	// Records counts the records that were made, Dropped those that were not sent because too many
-	// waited, and Finds the questions to control hosts.
+	// waited or their names are too long, and Finds the questions to control hosts.
 	Records, Dropped, Finds *expvar.Int
 
 	mu      sync.Mutex
@@ -106,7 +108,7 @@
 	k.Records.Add(1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(k.pending) >= maxPending {
+	if len(k.pending) >= maxPending || len(r.Stream) > maxNameBytes {
 		k.Dropped.Add(1)
 		return
 	}
--- a/internal/controller/streams/keeper_test.go
+++ b/internal/controller/streams/keeper_test.go
@@ -96,6 +96,8 @@
 	for i := 0; kept.Len() == 0 && i < 500; i++ {
 		time.Sleep(10 * time.Millisecond)
 	}
+	began.Record(control.StreamRecord{Stream: strings.Repeat("x", maxNameBytes+1), Service: "s"}, time.Second)
+	qt.Assert(t, began.Dropped.Value(), qt.Equals, int64(1))
 	other := NewKeeper(wire.NewClient(nil), clock, list, new(expvar.Map).Init())
 	other.SetHosts([]netip.AddrPort{serve(t, lost), hosts[0], hosts[1]})
 	o := other.Find(ctx, "w h r1", []string{"s"}, time.Second)
