side: requests await the first confirmed configuration

Cause: a side that has just started refuses requests with a key until its first poll of a control host with a leader succeeds. While the fleet elects, polls fail and are repeated after up to 350 ms. Entries send requests to a side as soon as it accepts connections, so if the only confirmed side is stopped at once, as that test does, every attempt is refused. Entries already wait in this case (ingress, awaitConfiguration); sides did not.

Evidence: the first refusal in the record is of t0, which is leaving, together with t1 and t2, and the next event is the stop of the second process, 2 s later.

Change: for 2 s after its start a side lets requests with a key wait up to 600 ms for the first confirmation. A side that becomes stale later refuses at once, as before.

--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -96,6 +96,7 @@
 	// received the report that it is leaving.
 	EntryLag time.Duration
 
+	startedAt      time.Time
 	wire           *wire.Client
 	control        *control.Client
 	watcher        *configuration.Watcher
@@ -172,6 +173,7 @@
 }
 
 func (h *Host) setUp() {
+	h.startedAt = h.Clock.Now()
 	h.wire = wire.NewClient(h.TLS)
 	h.wire.Dialer = h.Dialer
 	h.wire.Traffic = h.Traffic
--- a/internal/role/side/online.go
+++ b/internal/role/side/online.go
@@ -14,8 +14,17 @@
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 )
 
-// frameBytes is the size of the buffer for one data frame.
-const frameBytes = 32 << 10
+const (
+	// frameBytes is the size of the buffer for one data frame.
+	frameBytes = 32 << 10
+	// startPeriod is the time after the start of a side in which requests wait for its first
+	// confirmed configuration, and maxStartWait bounds the wait.
+	startPeriod  = 2 * time.Second
+	maxStartWait = 600 * time.Millisecond
+	// confirmationCheckInterval is how often a waiting request checks whether the
+	// configuration is confirmed.
+	confirmationCheckInterval = 20 * time.Millisecond
+)
 
 // responseHeaders are the target's response headers that are passed to callers.
 var responseHeaders = []string{"Content-Type", "Content-Language", "Cache-Control", "Etag", "Location", "Retry-After"}
@@ -52,6 +61,9 @@
 
 func (s *onlineAttempt) serve(ctx context.Context) *rhubarbgate.Error {
 	h := s.host
+	if s.request.KeyDigest != "" {
+		h.awaitConfirmation(ctx)
+	}
 	if h.isLeaving() {
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "target %s is leaving", h.Name)
 	}
@@ -72,6 +84,32 @@
 	return s.forward(p)
 }
 
+func (h *Host) configurationStale() bool {
+	return h.Clock.Since(h.watcher.ConfirmedAt()) > h.MaxAge
+}
+
+// awaitConfirmation waits briefly for the first confirmed configuration of a side that has just
+// started. Entries send it requests as soon as it accepts them, and no other target may be left.
+func (h *Host) awaitConfirmation(ctx context.Context) {
+	wait := min(maxStartWait, startPeriod-h.Clock.Since(h.startedAt))
+	if wait <= 0 || !h.configurationStale() {
+		return
+	}
+	timeout := h.Clock.NewTimer(wait)
+	defer timeout.Stop()
+	t := h.Clock.NewTicker(confirmationCheckInterval)
+	defer t.Stop()
+	for h.configurationStale() {
+		select {
+		case <-t.Chan():
+		case <-timeout.Chan():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // authorize checks the key again, because it may have been withdrawn while the
 // request was queued.
 func (s *onlineAttempt) authorize() *rhubarbgate.Error {
@@ -79,7 +117,7 @@
 		return nil
 	}
 	h := s.host
-	if h.Clock.Since(h.watcher.ConfirmedAt()) > h.MaxAge {
+	if h.configurationStale() {
 		return rhubarbgate.Errorf(rhubarbgate.CodeStale, rhubarbgate.NotRun, "the side of target %s cannot confirm its configuration", h.Name)
 	}
 	c := h.configuration()
--- a/internal/role/side/online_test.go
+++ b/internal/role/side/online_test.go
@@ -1,7 +1,9 @@
 package side
 
 import (
+	"context"
 	"expvar"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -12,6 +14,9 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
+	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
+	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
@@ -61,3 +66,48 @@
 		})
 	}
 }
+
+// TestRequestAwaitsTheFirstConfirmation guards against refusing requests at a side that has just
+// started and cannot know its configuration yet. Later, a stale side must refuse them at once.
+func TestRequestAwaitsTheFirstConfirmation(t *testing.T) {
+	tests := []struct {
+		name      string
+		age       time.Duration // of the side
+		waits     bool
+		confirmed bool // while the request waits
+		code      rhubarbgate.Code
+	}{
+		{"just started", 0, true, true, rhubarbgate.CodeUpstream}, // no target listens
+		{"never confirmed", 0, true, false, rhubarbgate.CodeStale},
+		{"started long ago", time.Minute, false, false, rhubarbgate.CodeStale},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			clock, logger := clockwork.NewFakeClock(), &log.Logger{Handler: discard.New()}
+			h := &Host{
+				Name: "t", Clock: clock, Logger: logger, MaxAge: 4 * time.Second, startedAt: clock.Now().Add(-x.age),
+				watcher:      &configuration.Watcher{Clock: clock, Logger: logger, Failures: new(expvar.Int)},
+				keeper:       &gatekeeper.Gatekeeper{Clock: clock, Gate: &gate.FirstCome{Clock: clock, Slots: 1}},
+				targetClient: &target.Client{Address: netip.MustParseAddrPort("127.0.0.1:1"), Clock: clock},
+			}
+			h.keeper.Start()
+			s := &onlineAttempt{host: h, request: &side.Request{Workspace: "w", KeyDigest: config.KeyDigest("kept")}, deadline: clock.Now().Add(time.Minute)}
+			served := make(chan *rhubarbgate.Error, 1)
+			go func() { served <- s.serve(t.Context()) }()
+			if x.waits {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				c.Assert(clock.BlockUntilContext(ctx, 2), qt.IsNil) // the timeout and the interval
+				if x.confirmed {
+					setConfig(h.watcher, 5, clock.Now(), "kept")
+				}
+				clock.Advance(maxStartWait)
+			}
+			err := <-served
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(err.Code, qt.Equals, x.code, qt.Commentf("%v", err))
+			c.Assert(err.Verdict, qt.Equals, rhubarbgate.NotRun)
+		})
+	}
+}
