crashes: no trials of one's own while the leader changes

Cause: an entry that gets no reply to its request for a trial within 0.2 s allowed one itself at once. When the leader changes or is slow, every entry does that within the same second, and each such trial may end a target.

Change: a process allows a trial itself only once no request for one was answered for 4 s, then every 5 s as before.

--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -103,9 +103,11 @@
 	suspects     []quarantine.Part
 	blocks       map[quarantine.Part]block
 	// askedAt is when a trial was last asked for, by the first part that is blocked for trial,
-	// and ownTrialAt when this process last allowed one itself.
-	askedAt    map[quarantine.Part]time.Time
-	ownTrialAt time.Time
+	// unansweredSince the first time since the last reply at which none came, and ownTrialAt when
+	// this process last allowed a trial itself.
+	askedAt         map[quarantine.Part]time.Time
+	unansweredSince time.Time
+	ownTrialAt      time.Time
 }
 
 // end is the end of a target that this process observed.
--- a/internal/controller/crashes/trial.go
+++ b/internal/controller/crashes/trial.go
@@ -16,8 +16,10 @@
 	trialAskInterval = 250 * time.Millisecond
 	// trialAskTimeout bounds the time for which a request waits for the reply.
 	trialAskTimeout = 200 * time.Millisecond
-	// ownTrialInterval is how often a process allows a trial itself while no control host
-	// replies.
+	// ownTrialAfter is for how long no request for a trial must have been answered before a process
+	// allows one itself. All entries miss a leader at the same time, and each trial may end a target.
+	ownTrialAfter = 4 * time.Second
+	// ownTrialInterval is how often a process allows a trial itself.
 	ownTrialInterval = 5 * time.Second
 )
 
@@ -34,6 +36,9 @@
 	if err != nil {
 		return r.allowOwnTrial()
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unansweredSince = time.Time{}
 	return reply.TrialGranted
 }
 
@@ -49,11 +54,18 @@
 	return true
 }
 
-// allowOwnTrial reports whether this process may send a request as a trial without the leader.
+// allowOwnTrial reports whether this process may send a request as a trial without the leader, which
+// did not answer.
 func (r *Recorder) allowOwnTrial() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
+	if r.unansweredSince.IsZero() {
+		r.unansweredSince = now
+	}
+	if now.Sub(r.unansweredSince) < ownTrialAfter {
+		return false
+	}
 	if !r.ownTrialAt.IsZero() && now.Sub(r.ownTrialAt) < ownTrialInterval {
 		return false
 	}
