quarantine: blocks for trial outlive their leader

Cause: a new leader did not take over blocks for trial, as they follow from the ends that are reported to it too. So its reply to the first report released them, while most ends were still on their way from other processes. Until those arrived the request went out without a trial.

Evidence: logs of TestRequestThatCrashesTargets beside three other copies: the leader steps down at 36.55 s and leads again at 37.07; entries 0 and 1 log "no longer blocked" at 37.60 and 37.76; the request reaches a target at 37.92; they are blocked for trial again at 37.94 and 38.08.

Change: a new leader keeps the blocks for trial that it knows or that are reported to it for 3 s. It grants a trial once it knows the ends, as before.

--- a/internal/policy/quarantine/request_test.go
+++ b/internal/policy/quarantine/request_test.go
@@ -81,6 +81,47 @@
 	}
 }
 
+// TestBlockForTrialOutlivesItsLeader guards against a request that ends targets going out without a
+// trial, because a new leader released its block before it had heard of all ends.
+func TestBlockForTrialOutlivesItsLeader(t *testing.T) {
+	bad := RequestPart("w", "POST", "h", "/p", []byte("bad"))
+	known := Report{Blocks: []Block{{Part: Part{"lm", bad}, Trial: true, Left: time.Minute}}}
+	oneEnd := ended("t1", bad)
+	oneEnd.Blocks = known.Blocks
+	tests := []struct {
+		name    string
+		events  []event
+		at      time.Duration
+		blocked bool
+		trial   bool // a trial is granted
+	}{
+		{"no end reported yet", []event{{0, known}}, time.Second, true, false},
+		{"one end reported", []event{{0, oneEnd}}, time.Second, true, false},
+		{"all ends reported", []event{{0, oneEnd}, {10 * time.Millisecond, ended("t2", bad)}}, time.Second, true, true},
+		{"ends were forgotten", []event{{0, known}}, adoptedTrialTime, false, false},
+		{"answered", []event{{0, known}, {500 * time.Millisecond, answered(bad)}}, time.Second, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			start := clock.Now()
+			table := &Table{Clock: clock}
+			for _, e := range test.events {
+				clock.Advance(e.at - clock.Since(start))
+				qt.Check(t, table.Add(&e.report), qt.HasLen, 0)
+			}
+			clock.Advance(test.at - clock.Since(start))
+			blocks := table.Blocks()
+			qt.Assert(t, len(blocks) > 0, qt.Equals, test.blocked)
+			if test.blocked {
+				qt.Check(t, blocks, qt.HasLen, 1)
+				qt.Check(t, blocks[0].Trial, qt.IsTrue)
+			}
+			qt.Check(t, table.GrantTrial(Parts("lm", []string{bad})), qt.Equals, test.trial)
+		})
+	}
+}
+
 // TestLift guards against a wrong block that an operator cannot end, and against one that is lifted
 // for good although targets end again.
 func TestLift(t *testing.T) {
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -42,6 +42,9 @@
 	// SameCrashPeriod is the time within which reports about one target describe one end. A
 	// target may keep its name when it restarts, but it takes longer.
 	SameCrashPeriod = time.Second
+	// adoptedTrialTime is how long a block for trial of an earlier Table lasts. Within it all daemons
+	// report the ends from which the block follows.
+	adoptedTrialTime = 3 * time.Second
 	// maxCrashes and maxCrashParts bound the memory for ends of targets and for the parts of
 	// each; the oldest ends and further parts are dropped. A target has tens of requests,
 	// running and queued, with a few parts each.
@@ -124,6 +127,7 @@
 type adoptedBlock struct {
 	with         []Part
 	except       []string
+	trial        bool
 	since, until time.Time
 }
 
@@ -169,10 +173,14 @@
 		t.newestAnswer = at
 	}
 	for _, b := range r.Blocks {
-		// A block for trial follows from the ends of targets, which are reported too.
-		if _, ok := t.adopted[b.Part]; !ok && !b.Trial {
-			t.adopted[b.Part] = adoptedBlock{with: b.With, except: b.Except, since: now, until: now.Add(b.Left)}
+		if _, ok := t.adopted[b.Part]; ok {
+			continue
+		}
+		left := b.Left
+		if b.Trial {
+			left = min(left, adoptedTrialTime)
 		}
+		t.adopted[b.Part] = adoptedBlock{with: b.With, except: b.Except, trial: b.Trial, since: now, until: now.Add(left)}
 	}
 	t.update(now)
 	for _, b := range r.Blocks {
@@ -310,14 +318,14 @@
 	for p, since := range t.suspected {
 		c := t.counted(p)
 		if p.IsRequest() {
-			if _, ok := t.adopted[p]; !ok || t.blockedRequests[p] {
+			if !t.isAdoptedBlock(p) || t.blockedRequests[p] {
 				r = append(r, Block{Part: p, Except: t.answeredElsewhere(p), Trial: !t.blockedRequests[p], Left: newest(c).Add(BlockTime).Sub(now)})
 			}
 			continue
 		}
 		b := Block{Part: p, With: t.presentAtAll(c, p), Except: t.answeredElsewhere(p), Left: newest(c).Add(BlockTime).Sub(now)}
 		if now.Sub(since) < objectionPeriod || !t.isSuspect(p) {
-			if _, ok := t.adopted[p]; ok || !t.isOnTrial(p, now) {
+			if t.isAdoptedBlock(p) || !t.isOnTrial(p, now) {
 				continue
 			}
 			b.Trial, b.Left = true, newest(c).Add(trialTime).Sub(now)
@@ -328,13 +336,19 @@
 	}
 	for p, b := range t.adopted {
 		if !slices.ContainsFunc(r, func(x Block) bool { return x.Part == p }) {
-			r = append(r, Block{Part: p, With: b.with, Except: b.except, Left: b.until.Sub(now)})
+			r = append(r, Block{Part: p, With: b.with, Except: b.except, Trial: b.trial, Left: b.until.Sub(now)})
 		}
 	}
 	slices.SortFunc(r, func(a, b Block) int { return CompareParts(a.Part, b.Part) })
 	return r
 }
 
+// isAdoptedBlock reports whether an earlier Table blocked the part, not for trial. The lock is held.
+func (t *Table) isAdoptedBlock(part Part) bool {
+	b, ok := t.adopted[part]
+	return ok && !b.trial
+}
+
 // Lift forgets what counts against the parts with these IDs, as an answer to them does, and returns
 // those of which something was known, in order. Further ends count again.
 func (t *Table) Lift(ids []string) []Part {
--- a/internal/role/replica/quarantine.go
+++ b/internal/role/replica/quarantine.go
@@ -123,7 +123,7 @@
 // whether it had to. The lock is held.
 func (h *Host) beginQuarantine(term uint64, now time.Time) bool {
 	q := &h.quarantine
-	known := withoutTrials(q.value.Aged(now.Sub(q.at)).Blocks)
+	known := q.value.Aged(now.Sub(q.at)).Blocks
 	table := &quarantine.Table{Clock: h.Clock}
 	if !q.begin(term, table, now) {
 		return false
