quarantine: a block is not replaced by a trial after a change of the leader

What callers saw: a request that was blocked on all entries reached targets again after the next leader change (log of TestRequestThatCrashesTargets at a load of 27: blocked at 03.19 s, "blocked for trial" at 09.57 s under term 5, sent 0.2 s later as a trial and once more beside it).

Cause: a new leader hears of ends and of blocks from different processes. If the ends come first it publishes a block for trial. Processes replaced their block by that one, so that nobody reported the block any more. The table had the same gap: a block that came after one for trial was dropped.

Change: a process keeps a block that the leader only has for trial, and goes on reporting it until the leader has it or releases it. The table takes it over in place of the one for trial, and then grants no trials.

TestBlockIsNotReplacedByATrial and the case "blocked by another process's report" failed before.

--- a/internal/controller/crashes/report.go
+++ b/internal/controller/crashes/report.go
@@ -63,6 +63,10 @@
 	before := maps.Clone(r.blocks)
 	maps.DeleteFunc(r.blocks, func(_ quarantine.Part, b block) bool { return b.term >= q.Version.Term || !now.Before(b.until) })
 	for _, b := range q.Blocks {
+		if held, ok := r.blocks[b.Part]; ok && !held.trial && b.Trial {
+			// The leader has the ends that were reported to it, and not yet this block.
+			continue
+		}
 		r.blocks[b.Part] = block{with: b.With, except: b.Except, trial: b.Trial, until: at.Add(b.Left), term: q.Version.Term}
 	}
 	maps.DeleteFunc(r.askedAt, func(p quarantine.Part, _ time.Time) bool { return !r.blocks[p].trial })
--- a/internal/controller/crashes/report_test.go
+++ b/internal/controller/crashes/report_test.go
@@ -203,6 +203,30 @@
 	}
 }
 
+// TestBlockIsNotReplacedByATrial guards against trials of a request that is blocked, because a new leader
+// heard of the ends before it heard of the block.
+func TestBlockIsNotReplacedByATrial(t *testing.T) {
+	bad := quarantine.Part{Service: "lm", ID: "bad"}
+	onTrial, blocked := quarantine.Block{Part: bad, Trial: true, Left: time.Minute}, quarantine.Block{Part: bad, Left: time.Minute}
+	var term atomic.Uint64
+	term.Store(2)
+	r, received := newTestRecorder(t, &term, nil)
+	update := func(term, number uint64, blocks ...quarantine.Block) {
+		r.Update(control.Quarantine{Version: control.LeaderVersion{Term: term, Number: number}, Blocks: blocks}, r.Clock.Now())
+	}
+	update(1, 1, blocked)
+	update(2, 1, onTrial)
+	qt.Assert(t, r.RequestTrial(t.Context(), "lm", []string{"bad"}), qt.IsFalse)
+	go r.Run(t.Context())
+	report := <-received
+	qt.Assert(t, report.Blocks, qt.HasLen, 1)
+	qt.Assert(t, report.Blocks[0].Trial, qt.IsFalse)
+
+	update(2, 2, blocked)
+	update(2, 3, onTrial)
+	qt.Assert(t, r.RequestTrial(t.Context(), "lm", []string{"bad"}), qt.IsTrue, qt.Commentf("the leader had the block and ended it"))
+}
+
 // TestReleasedByNewLeader guards against a block that outlives an answer which only the new
 // leader knows of.
 func TestReleasedByNewLeader(t *testing.T) {
--- a/internal/policy/quarantine/request_test.go
+++ b/internal/policy/quarantine/request_test.go
@@ -88,18 +88,20 @@
 	known := Report{Blocks: []Block{{Part: Part{"lm", bad}, Trial: true, Left: time.Minute}}}
 	oneEnd := ended("t1", bad)
 	oneEnd.Blocks = known.Blocks
+	blocked := Report{Blocks: []Block{{Part: Part{"lm", bad}, Left: time.Minute}}}
 	tests := []struct {
 		name    string
 		events  []event
 		at      time.Duration
-		blocked bool
-		trial   bool // a trial is granted
+		blocks  []bool // whether they are for trial
+		granted bool   // whether a trial is
 	}{
-		{"no end reported yet", []event{{0, known}}, time.Second, true, false},
-		{"one end reported", []event{{0, oneEnd}}, time.Second, true, false},
-		{"all ends reported", []event{{0, oneEnd}, {10 * time.Millisecond, ended("t2", bad)}}, time.Second, true, true},
-		{"ends were forgotten", []event{{0, known}}, adoptedTrialTime, false, false},
-		{"answered", []event{{0, known}, {500 * time.Millisecond, answered(bad)}}, time.Second, false, false},
+		{"no end reported yet", []event{{0, known}}, time.Second, []bool{true}, false},
+		{"one end reported", []event{{0, oneEnd}}, time.Second, []bool{true}, false},
+		{"all ends reported", []event{{0, oneEnd}, {10 * time.Millisecond, ended("t2", bad)}}, time.Second, []bool{true}, true},
+		{"ends were forgotten", []event{{0, known}}, adoptedTrialTime, nil, false},
+		{"blocked by another process's report", []event{{0, oneEnd}, {10 * time.Millisecond, ended("t2", bad)}, {20 * time.Millisecond, blocked}}, time.Second, []bool{false}, false},
+		{"answered", []event{{0, known}, {500 * time.Millisecond, answered(bad)}}, time.Second, nil, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -111,13 +113,12 @@
 				qt.Check(t, table.Add(&e.report), qt.HasLen, 0)
 			}
 			clock.Advance(test.at - clock.Since(start))
-			blocks := table.Blocks()
-			qt.Assert(t, len(blocks) > 0, qt.Equals, test.blocked)
-			if test.blocked {
-				qt.Check(t, blocks, qt.HasLen, 1)
-				qt.Check(t, blocks[0].Trial, qt.IsTrue)
+			var blocks []bool
+			for _, b := range table.Blocks() {
+				blocks = append(blocks, b.Trial)
 			}
-			qt.Check(t, table.GrantTrial(Parts("lm", []string{bad})), qt.Equals, test.trial)
+			qt.Check(t, blocks, qt.DeepEquals, test.blocks)
+			qt.Check(t, table.GrantTrial(Parts("lm", []string{bad})), qt.Equals, test.granted)
 		})
 	}
 }
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -173,7 +173,7 @@
 		t.newestAnswer = at
 	}
 	for _, b := range r.Blocks {
-		if _, ok := t.adopted[b.Part]; ok {
+		if a, ok := t.adopted[b.Part]; ok && (b.Trial || !a.trial) {
 			continue
 		}
 		left := b.Left
--- a/internal/policy/quarantine/trial.go
+++ b/internal/policy/quarantine/trial.go
@@ -64,6 +64,9 @@
 	t.update(now)
 	var suspects []Part
 	for _, p := range parts {
+		if t.isAdoptedBlock(p) {
+			return false
+		}
 		if _, ok := t.suspected[p]; !ok {
 			continue
 		}
