quarantine: each entry acts on the ends that it saw itself

Cause: only blocks of the leader kept such a request back. While the leader changes or its answers take long, an entry went on sending a request at which it had seen several targets end.

Change: a request at two ends that the entry saw itself, not answered since shortly before, goes out only as a trial that the leader grants, until the leader has had 2 s for its verdict.

--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -211,7 +211,7 @@
 	case left > 0:
 		return part, left, true
 	case len(trials) > 0:
-		return trials[0].ID, trialRetryAfter, true
+		return trials[0].ID, TrialRetryAfter, true
 	}
 	return "", 0, false
 }
--- a/internal/controller/crashes/report_test.go
+++ b/internal/controller/crashes/report_test.go
@@ -203,6 +203,57 @@
 	}
 }
 
+// TestRequestsSuspectedHere guards against a request that ends targets and goes out again and again
+// while the way to the leader and back takes long, and against refusing one that the leader cleared.
+func TestRequestsSuspectedHere(t *testing.T) {
+	bad := quarantine.RequestPart("w", "POST", "h", "/p", []byte("bad"))
+	other := quarantine.RequestPart("w", "POST", "h", "/p", []byte("other"))
+	twoEnds := []string{"t1", "t2"}
+	tests := []struct {
+		name         string
+		ends         []string // targets
+		answered     time.Duration
+		reportedTerm uint64
+		later        time.Duration
+		id           string
+		want         bool
+	}{
+		{"one end", twoEnds[:1], 0, 0, 0, bad, false},
+		{"two ends", twoEnds, 0, 0, 0, bad, true},
+		{"another request", twoEnds, 0, 0, 0, other, false},
+		{"part of a prompt", twoEnds, 0, 0, 0, "a", false},
+		{"answered shortly before", twoEnds, time.Second, 0, 0, bad, false},
+		{"reported a moment ago", twoEnds, 0, 2, 0, bad, true},
+		{"decided by the leader", twoEnds, 0, 2, verdictTime, bad, false},
+		{"not reported to this leader", twoEnds, 0, 1, verdictTime, bad, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			r := NewRecorder(nil, nil, clock, &log.Logger{Handler: discard.New()}, new(expvar.Map).Init())
+			r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 2}}, clock.Now())
+			if test.answered > 0 {
+				r.RecordAnswer("lm", []string{bad})
+				clock.Advance(test.answered)
+			}
+			table := &discovery.Table{Clock: clock, Logger: r.Logger}
+			for _, x := range test.ends {
+				i := rhubarbgate.Instance{ID: x, Service: "lm", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+				table.Update([]rhubarbgate.Instance{i}, clock.Now())
+				r.recordEnd(Break{Target: table.Target(i), Parts: []string{"a", bad}, At: clock.Now()})
+				clock.Advance(time.Millisecond)
+			}
+			for _, e := range r.ends {
+				e.reportedTerm = test.reportedTerm
+			}
+			clock.Advance(test.later)
+			qt.Assert(t, r.Suspects("lm", []string{"a", test.id}), qt.Equals, test.want)
+			r.RecordAnswer("lm", []string{bad})
+			qt.Assert(t, r.Suspects("lm", []string{"a", test.id}), qt.IsFalse)
+		})
+	}
+}
+
 // TestBlockIsNotReplacedByATrial guards against trials of a request that is blocked, because a new leader
 // heard of the ends before it heard of the block.
 func TestBlockIsNotReplacedByATrial(t *testing.T) {
--- a/internal/controller/crashes/trial.go
+++ b/internal/controller/crashes/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
@@ -9,13 +10,15 @@
 )
 
 const (
-	// trialRetryAfter is the Retry-After of requests that are blocked for trial: by then two
+	// TrialRetryAfter is the Retry-After of requests that are blocked for trial: by then two
 	// trials have shown whether targets end when they answer the part.
-	trialRetryAfter = 2 * quarantine.TrialInterval
+	TrialRetryAfter = 2 * quarantine.TrialInterval
 	// trialAskInterval is how often one process asks for a trial of a part.
 	trialAskInterval = 250 * time.Millisecond
 	// trialAskTimeout bounds the time for which a request waits for the reply.
 	trialAskTimeout = 200 * time.Millisecond
+	// verdictTime is how long after the end of a target the leader's verdict has arrived.
+	verdictTime = 2 * time.Second
 	// ownTrialAfter is for how long no request for a trial must have been answered before a process
 	// allows one itself. All entries miss a leader at the same time, and each trial may end a target.
 	ownTrialAfter = 4 * time.Second
@@ -27,6 +30,9 @@
 // asks the leader of the fleet group, which allows one at a time among all processes.
 func (r *Recorder) RequestTrial(ctx context.Context, service string, ids []string) bool {
 	_, left, trials := r.matchBlocks(service, ids)
+	if len(trials) == 0 {
+		trials = r.suspectedHere(service, ids)
+	}
 	if left > 0 || len(trials) == 0 || !r.mayAsk(trials[0]) {
 		return false
 	}
@@ -42,6 +48,44 @@
 	return reply.TrialGranted
 }
 
+// Suspects reports whether a request is to be sent only as a trial, because this process saw targets
+// end with its content. The leader comes to the same verdict, but its blocks take a while to arrive.
+func (r *Recorder) Suspects(service string, ids []string) bool {
+	return len(r.suspectedHere(service, ids)) > 0
+}
+
+// suspectedHere returns the parts that stand for requests at whose ends of targets, seen by this
+// process, the leader cannot have decided yet.
+func (r *Recorder) suspectedHere(service string, ids []string) []quarantine.Part {
+	if r == nil {
+		return nil
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if len(r.ends) < quarantine.MinRequestEnds {
+		return nil
+	}
+	now := r.Clock.Now()
+	var suspects []quarantine.Part
+	for _, p := range quarantine.Parts(service, ids) {
+		if !p.IsRequest() {
+			continue
+		}
+		answered, _ := r.answers.newest(p)
+		ends, decided := 0, true
+		for _, e := range r.ends {
+			if slices.Contains(e.parts, p) && e.at.After(answered.Add(quarantine.AnswerMargin)) {
+				ends++
+				decided = decided && e.reportedTerm >= max(r.version.Term, 1) && now.Sub(e.at) >= verdictTime
+			}
+		}
+		if ends >= quarantine.MinRequestEnds && !decided {
+			suspects = append(suspects, p)
+		}
+	}
+	return suspects
+}
+
 // mayAsk reports whether the last request for a trial of the part is long enough ago for another.
 func (r *Recorder) mayAsk(part quarantine.Part) bool {
 	r.mu.Lock()
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
@@ -188,7 +189,11 @@
 			continue
 		}
 		service = share.Service
-		if blocked = f.server.checkBlocked(x, service); blocked == nil {
+		blocked = f.server.checkBlocked(x, service)
+		if blocked == nil && f.server.Crashes.Suspects(service, x.parts()) {
+			blocked = notRun(rhubarbgate.CodeUnavailable, "targets of service %q ended when they ran this request", service).WithRetryAfter(crashes.TrialRetryAfter)
+		}
+		if blocked == nil {
 			return next(x)
 		}
 	}
--- a/internal/policy/quarantine/request.go
+++ b/internal/policy/quarantine/request.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// minRequestEnds is at how many ends of targets a request must have been, with no answer to it
+	// MinRequestEnds is at how many ends of targets a request must have been, with no answer to it
 	// since, before it is sent only as a trial. One end is also that of the requests beside it.
-	minRequestEnds = 2
+	MinRequestEnds = 2
 	// minBlockEnds is at how many ends, that of a trial included, a request is blocked.
 	minBlockEnds = 3
 	// minFailedTrials is after how many trials that ended their targets a request is blocked
@@ -53,7 +53,7 @@
 // isRequestSuspect reports whether targets ended with a request time and again. The lock is held.
 func (t *Table) isRequestSuspect(part Part, now time.Time) bool {
 	c := t.counted(part)
-	return len(c) >= minRequestEnds && now.Sub(newest(c)) < BlockTime
+	return len(c) >= MinRequestEnds && now.Sub(newest(c)) < BlockTime
 }
 
 // updateBlockedRequests updates the requests to block, given the number of ends of targets for each part. The
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -28,9 +28,9 @@
 	// sharedMomentInterval is the time between two such moments that count. Busy processes notice
 	// the ends of one moment over several tenths of a second.
 	sharedMomentInterval = time.Second
-	// answerMargin is how long after an answer to a part the end of a target counts against
+	// AnswerMargin is how long after an answer to a part the end of a target counts against
 	// the part: an answer and an end that are closer may have been in flight together.
-	answerMargin = 2 * time.Second
+	AnswerMargin = 2 * time.Second
 	// objectionPeriod is how long a part is suspected before it is blocked. It covers the way
 	// to all daemons and back, which report their answers to the part.
 	objectionPeriod = 800 * time.Millisecond
@@ -226,7 +226,7 @@
 	maps.DeleteFunc(t.answers, func(p Part, _ time.Time) bool { return p.ID != AnyPart && !ids[p.ID] })
 	isSuspected := func(p Part) bool {
 		if p.IsRequest() {
-			return crashes[p] >= minRequestEnds && t.isRequestSuspect(p, now)
+			return crashes[p] >= MinRequestEnds && t.isRequestSuspect(p, now)
 		}
 		return crashes[p] >= min(minMoments, minTrialEnds) && (t.isSuspect(p) || t.isOnTrial(p, now))
 	}
@@ -247,7 +247,7 @@
 	var r []*crash
 	answered := t.answers[part]
 	for _, c := range t.crashes {
-		if c.parts[part] && c.at.After(answered.Add(answerMargin)) {
+		if c.parts[part] && c.at.After(answered.Add(AnswerMargin)) {
 			r = append(r, c)
 		}
 	}
@@ -393,7 +393,7 @@
 func (t *Table) presentAtAll(c []*crash, part Part) []Part {
 	var r []Part
 	for p := range t.suspected {
-		if p != part && !slices.ContainsFunc(c, func(x *crash) bool { return !x.parts[p] || !x.at.After(t.answers[p].Add(answerMargin)) }) {
+		if p != part && !slices.ContainsFunc(c, func(x *crash) bool { return !x.parts[p] || !x.at.After(t.answers[p].Add(AnswerMargin)) }) {
 			r = append(r, p)
 		}
 	}
