limit: no grant is lost between the look for tokens and the wait

What callers saw: 429 for a workspace far below its rate, seldom and mostly at the start of an entry.

Cause: Acquire looked for tokens, released the lock and then queued. A grant that came in between woke nobody. The exchange that the wait starts asks for nothing then, since the tokens are there, so the caller was refused after the full wait.

Change: the look and the queuing are one step under the lock.

--- a/internal/policy/limit/holder.go
+++ b/internal/policy/limit/holder.go
@@ -140,7 +140,12 @@
 	s := h.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ws := s.state(workspace, now)
+	return s.state(workspace, now).take(now, n)
+}
+
+// take takes n tokens if they are available and no earlier caller waits for some. If not, it returns
+// how long to wait before a retry.
+func (ws *workspaceState) take(now time.Time, n float64) (bool, time.Duration) {
 	ws.recordUse(now, n)
 	if len(ws.waiters) == 0 && ws.spend(now, n) {
 		return true, 0
@@ -152,14 +157,16 @@
 // closed. It reports whether it took them and, if not, how long to wait before a
 // retry.
 func (h *Holder) Acquire(workspace string, n float64, maxWait time.Duration, done <-chan struct{}) (bool, time.Duration) {
-	ok, wait := h.Take(workspace, n)
-	if ok {
-		return true, 0
-	}
 	w := &waiter{tokens: n, ready: make(chan bool, 1)}
+	now := h.Clock.Now()
 	s := h.shard(workspace)
 	s.mu.Lock()
-	ws := s.state(workspace, h.Clock.Now())
+	ws := s.state(workspace, now)
+	ok, wait := ws.take(now, n)
+	if ok {
+		s.mu.Unlock()
+		return true, 0
+	}
 	if tokenWait := ws.minTokenWait(n); tokenWait > maxWait {
 		// The tokens cannot arrive within maxWait, so refuse without waiting.
 		s.mu.Unlock()
--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -257,6 +258,27 @@
 	c.Assert(total, qt.Equals, 9.0)
 }
 
+// TestGrantBeforeTheWait guards against a caller that waits in vain because its grant came between the
+// look for tokens and the wait for them.
+func TestGrantBeforeTheWait(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	inVain := 0
+	for i := range 10000 {
+		h := &Holder{Clock: clock}
+		h.Take(workspace, 1)
+		go func() {
+			for range rand.IntN(100) {
+				runtime.Gosched()
+			}
+			h.ApplyGrants(clock.Now(), nil, []Grant{{Workspace: workspace, ID: uint64(i), Tokens: 1, TTL: time.Minute, PerSecond: 1000}})
+		}()
+		if ok, _ := h.Acquire(workspace, 1, time.Second, nil); !ok {
+			inVain++
+		}
+	}
+	qt.Assert(t, inVain, qt.Equals, 0)
+}
+
 // TestIdleHolderSendsNothing guards against messages for workspaces that are not in
 // use: the holder returns their tokens once, requests no more and stops tracking them
 // as active.
