wire: a message with nil in place of a time is an error

Cause: the MessagePack decoder panics on it instead of returning an error.

Evidence: found by FuzzRestore within 7 s; the input is now a seed of FuzzUnmarshal, which panicked before.

Change: Unmarshal, through which all decoding goes, returns an error for a panic of the decoder.

--- a/internal/rpc/wire/encoding.go
+++ b/internal/rpc/wire/encoding.go
@@ -29,7 +29,13 @@
 	return b, errors.Annotatef(err, "encode %T", v)
 }
 
-// Unmarshal decodes MessagePack into v.
-func Unmarshal(b []byte, v any) error {
+// Unmarshal decodes MessagePack into v. The decoder panics on some malformed input, such as
+// nil in place of a time, which is an error here too.
+func Unmarshal(b []byte, v any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Errorf("decode %T: %v", v, p)
+		}
+	}()
 	return errors.Annotatef(msgpack.Unmarshal(b, v), "decode %T", v)
 }
--- a/internal/rpc/wire/encoding_test.go
+++ b/internal/rpc/wire/encoding_test.go
@@ -65,6 +65,7 @@
 	}
 	f.Add(b)
 	f.Add([]byte{0xdf, 0xff})
+	f.Add([]byte("\x81\xa2At\xc0")) // nil in place of a time
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var x sample
 		_ = Unmarshal(b, &x)
