--- a/internal/state/jobs/jobs_test.go
+++ b/internal/state/jobs/jobs_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
 	"rhubarbgate.example/rhubarbgate"
@@ -234,6 +236,36 @@
 	c.Assert(r.Err.Code, qt.Equals, rhubarbgate.CodeNotFound)
 }
 
+// TestRestoreOfCorruptSnapshot guards against a process that ends, at each start, because of a snapshot
+// whose parts contradict each other.
+func TestRestoreOfCorruptSnapshot(t *testing.T) {
+	tests := []struct {
+		name    string
+		prefix  []byte
+		corrupt func(j *job)
+	}{
+		{"length beyond the signed range", binary.AppendUvarint(nil, 1<<63+5), func(*job) {}},
+		{"counts", nil, func(j *job) { j.Counts.Total++ }},
+		{"leases", nil, func(j *job) { j.Counts.Leased = -1 }},
+		{"unknown state", nil, func(j *job) { j.items[0].state = Cancelled + 1 }},
+		{"result of no item", nil, func(j *job) { j.results = []int32{2} }},
+		{"result before the first item", nil, func(j *job) { j.results = []int32{-1} }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := New(&disk.Spill{Dir: t.TempDir()})
+			upload(t, m, "f", "w", 2, true)
+			createJob(m, "j", "f", "w", "k")
+			w := m.Snapshot()
+			test.corrupt(w.jobs[0])
+			b := bytes.NewBuffer(test.prefix)
+			must(t, w.WriteSnapshot(b))
+			err := New(m.Spill).Restore(memoryReader{bytes.NewReader(b.Bytes())}, 0)
+			qt.Assert(t, errors.Is(err, errors.NotValid), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
 // FuzzRestore guards against panics on corrupt snapshots.
 func FuzzRestore(f *testing.F) {
 	dir := f.TempDir()
--- a/internal/state/jobs/machine.go
+++ b/internal/state/jobs/machine.go
@@ -327,12 +327,17 @@
 // checkCounts panics unless the counts by state add up to the total, so that a counting
 // error stops the replica instead of completing a job early or never.
 func (j *job) checkCounts() {
-	n := j.Counts
-	if n.Done+n.Failed+n.Cancelled+j.unfinished != n.Total || n.Leased < 0 || n.Leased > j.unfinished {
-		panic(fmt.Sprintf("jobs invariant: counts of %s: %+v with %d live", j.ID, n, j.unfinished))
+	if !j.countsAddUp() {
+		panic(fmt.Sprintf("jobs invariant: counts of %s: %+v with %d live", j.ID, j.Counts, j.unfinished))
 	}
 }
 
+// countsAddUp reports whether the counts by state add up to the total.
+func (j *job) countsAddUp() bool {
+	n := j.Counts
+	return n.Done+n.Failed+n.Cancelled+j.unfinished == n.Total && n.Leased >= 0 && n.Leased <= j.unfinished
+}
+
 func (m *Machine) collect(c *Collect) *Result {
 	for id, j := range m.jobs {
 		if j.State != Running && j.Ended.Before(c.Before) {
--- a/internal/state/jobs/snapshot.go
+++ b/internal/state/jobs/snapshot.go
@@ -191,14 +191,13 @@
 }
 
 // readRecord reads one record into v. A length beyond the end of the snapshot is an
-// error, so that a corrupt one does not cause a huge allocation. A length of 2^63 or
-// more overflows the check and panics.
+// error, so that a corrupt one does not cause a huge allocation.
 func (r *snapshotReader) readRecord(v any) error {
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if int64(n) > r.source.Size()-r.offset {
+	if n > uint64(max(r.source.Size()-r.offset, 0)) {
 		return errors.NotValidf("record of %d bytes", n)
 	}
 	b := make([]byte, n)
@@ -314,6 +313,9 @@
 			return nil, errors.Trace(err)
 		}
 		x := item{output: ref, attempts: binary.LittleEndian.Uint16(h[4:]), failures: h[6], state: ItemState(h[7])}
+		if x.state > Cancelled {
+			return nil, errors.NotValidf("state %d of an item of job %q", x.state, d.Job.ID)
+		}
 		if !x.state.Terminal() {
 			j.unfinished++
 		}
@@ -328,7 +330,14 @@
 	if d.Streak != nil {
 		j.streak = *d.Streak
 	}
-	j.checkCounts()
+	for _, i := range d.Results {
+		if i < 0 || int(i) >= d.Items {
+			return nil, errors.NotValidf("result of item %d of job %q", i, d.Job.ID)
+		}
+	}
+	if !j.countsAddUp() {
+		return nil, errors.NotValidf("counts %+v of job %q with %d unfinished items", j.Counts, d.Job.ID, j.unfinished)
+	}
 	j.countPending()
 	return j, nil
 }
