jobs: a known key drops only the upload that repeats it

What could happen: finishing an upload under an idempotency key that is known dropped the named file whatever it was: one that was finished and may be a job's input for others to come, or one of another workspace.

Cause: the file was deleted before it was looked up.

Change: only an unfinished upload of the same workspace is dropped.

TestKnownKeyDropsOnlyItsUpload failed before in four of seven cases.

--- a/internal/state/jobs/files.go
+++ b/internal/state/jobs/files.go
@@ -75,18 +75,18 @@
 // removed, and the result is the earlier file, or an error if the content differs.
 func (m *Machine) finishFile(at time.Time, c *FinishFile) *Result {
 	name := idempotencyKey{c.Workspace, "file", c.Key}
-	if id, r := m.lookUpKey(name, c.Digest); r != nil {
-		delete(m.files, c.File)
-		return r
-	} else if id != "" && m.files[id] != nil {
-		if id != c.File {
+	f, notFound := m.findFile(c.File, c.Workspace)
+	if id, r := m.lookUpKey(name, c.Digest); r != nil || m.files[id] != nil {
+		if f != nil && f.State == Uploading {
 			delete(m.files, c.File)
 		}
+		if r != nil {
+			return r
+		}
 		return m.files[id].result()
 	}
-	f, r := m.findFile(c.File, c.Workspace)
-	if r != nil {
-		return r
+	if notFound != nil {
+		return notFound
 	}
 	if len(f.inputs) != c.Count {
 		return fail(rhubarbgate.CodeConflict, "file %q has %d of %d items", c.File, len(f.inputs), c.Count)
--- a/internal/state/jobs/jobs_test.go
+++ b/internal/state/jobs/jobs_test.go
@@ -203,6 +203,37 @@
 	c.Assert(createJob(m, "j4", "f", "other", "key").Err.Code, qt.Equals, rhubarbgate.CodeNotFound)
 }
 
+// TestKnownKeyDropsOnlyItsUpload guards against a finished upload, or one of another workspace, that is
+// dropped because an upload is finished under a key that is known.
+func TestKnownKeyDropsOnlyItsUpload(t *testing.T) {
+	tests := []struct {
+		name, file, digest string
+		dropped            bool
+	}{
+		{"repeated upload", "repeated", "content", true},
+		{"other content", "repeated", "other", true},
+		{"the file itself", "first", "content", false},
+		{"finished file", "finished", "content", false},
+		{"finished file, other content", "finished", "other", false},
+		{"file of another workspace", "foreign", "content", false},
+		{"file of another workspace, other content", "foreign", "other", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := New(&disk.Spill{Dir: t.TempDir()})
+			upload(t, m, "finished", "w", 1, true)
+			for id, workspace := range map[string]string{"first": "w", "repeated": "w", "foreign": "other"} {
+				mustResult(t, m.Apply(&Command{At: epoch, CreateFile: &CreateFile{ID: id, Workspace: workspace}}))
+			}
+			finish := &FinishFile{File: "first", Workspace: "w", Key: "key", Digest: []byte("content")}
+			mustResult(t, m.Apply(&Command{At: epoch, FinishFile: finish}))
+			r := m.Apply(&Command{At: epoch, FinishFile: &FinishFile{File: test.file, Workspace: "w", Key: "key", Digest: []byte(test.digest)}})
+			qt.Check(t, r.Err != nil, qt.Equals, test.digest == "other")
+			qt.Assert(t, m.files[test.file] == nil, qt.Equals, test.dropped)
+		})
+	}
+}
+
 // TestCancelRefusesLateResults guards against a result that arrives after the job was
 // cancelled and would be counted as a second end of the item.
 func TestCancelRefusesLateResults(t *testing.T) {
