jobs: a lease request for a negative index grants nothing

What could happen: a request with index -1, from a side of another build or a damaged message, ended every replica of the group, at each replay of the log again.

Cause: the index was compared with the number of items only.

TestLeaseOfNoItem panicked before.

--- a/internal/state/jobs/items.go
+++ b/internal/state/jobs/items.go
@@ -30,7 +30,7 @@
 	r := &Result{}
 	for _, ref := range c.Items {
 		j := m.jobs[ref.Job]
-		if j == nil || j.State != Running || ref.Index >= len(j.items) {
+		if j == nil || j.State != Running || ref.Index < 0 || ref.Index >= len(j.items) {
 			continue
 		}
 		x := &j.items[ref.Index]
--- a/internal/state/jobs/jobs_test.go
+++ b/internal/state/jobs/jobs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -234,6 +235,17 @@
 	}
 }
 
+// TestLeaseOfNoItem guards against a lease request whose index is no item's ending every replica.
+func TestLeaseOfNoItem(t *testing.T) {
+	m := New(&disk.Spill{Dir: t.TempDir()})
+	upload(t, m, "f", "w", 2, true)
+	createJob(m, "j", "f", "w", "")
+	for _, i := range []int{-1, 2, math.MaxInt} {
+		r := m.Apply(&Command{At: epoch, Lease: &Lease{Items: []ItemRef{{Job: "j", Index: i, Attempt: 1}}, Side: "s"}})
+		qt.Assert(t, r.Granted, qt.HasLen, 0)
+	}
+}
+
 // TestCancelRefusesLateResults guards against a result that arrives after the job was
 // cancelled and would be counted as a second end of the item.
 func TestCancelRefusesLateResults(t *testing.T) {
