jobs: the count of an item's failures does not overflow

What callers saw, with more than 255 attempts allowed for a route: an item that its targets always answer with failures was tried for ever.

Cause: the count has eight bits and started over after 255.

Change: it stays at 255, which also bounds the limit.

TestLargeLimitOfAttempts failed before.

--- a/internal/state/jobs/command.go
+++ b/internal/state/jobs/command.go
@@ -169,7 +169,7 @@
 	Window time.Duration
 	// Retention is how long items are attempted; a GiveUp command may follow.
 	Retention time.Duration
-	// Attempts is the number of failure responses from targets after which an item
+	// Attempts is the number of failure responses from targets, 255 at most, after which an item
 	// fails.
 	Attempts int
 	Items    []ItemInput
@@ -273,7 +273,7 @@
 	Due       time.Time
 	Ended     time.Time
 	Counts    Counts
-	// Attempts is the number of failure responses from targets after which an item
+	// Attempts is the number of failure responses from targets, 255 at most, after which an item
 	// fails. It is 0 unless the job was created by Submit.
 	Attempts int `msgpack:",omitempty"`
 	// Retain is the time until which the items of a job created by Submit are
--- a/internal/state/jobs/items.go
+++ b/internal/state/jobs/items.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -201,13 +202,13 @@
 		// lost side or connection is not the item's fault.
 		limit, counted = j.Attempts, o.Verdict == rhubarbgate.Ran
 	}
-	if counted || o.Permanent {
+	if (counted || o.Permanent) && x.failures < math.MaxUint8 {
 		x.failures++
 	}
 	if o.Verdict == rhubarbgate.Ran {
 		j.recordAnswer(o.Ref.Index)
 	}
-	if mayRetry && !o.Permanent && int(x.failures) < limit {
+	if mayRetry && !o.Permanent && int(x.failures) < min(limit, math.MaxUint8) {
 		m.requeue(j, o.Ref.Index)
 		return
 	}
--- a/internal/state/jobs/submit_test.go
+++ b/internal/state/jobs/submit_test.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// TestLargeLimitOfAttempts guards against an item that fails for ever, because the count of its failures
+// overflows before it reaches the job's limit.
+func TestLargeLimitOfAttempts(t *testing.T) {
+	m := newSubmitted(t, 1)
+	m.jobs["j"].Attempts = 1000
+	for n := 0; m.jobs["j"].items[0].state != Failed; n++ {
+		qt.Assert(t, n < 1000, qt.IsTrue)
+		qt.Assert(t, complete(m, Outcome{Ref: leaseItem(m, 0), Verdict: rhubarbgate.Ran}), qt.IsTrue)
+	}
+}
+
 // TestSubmitTwice guards against a repeated Submit that replaces or extends the job, and
 // against a job ID that gives another workspace access to the job.
 func TestSubmitTwice(t *testing.T) {
