raft: callbacks at the stop of a group run without its lock

What could happen: a group did not stop if the callback of a command or read that the stop fails called the group again: it waited for the lock that the stop held.

Change: the stop takes the waiting commands and reads out under the lock and calls back afterwards.

TestCallbacksAtTheStop failed before after its 10 s and passes three of three with the race detector.

--- a/internal/consensus/raft/poll.go
+++ b/internal/consensus/raft/poll.go
@@ -202,18 +202,21 @@
 // are in the log may still be committed, so their outcome is unknown.
 func (g *Group) failPending(err error) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	waiting := g.inbox
+	g.inbox = inbox{}
+	g.mu.Unlock()
+	// Callers may call the group again from their callbacks.
 	for i, p := range g.proposals {
 		delete(g.proposals, i)
 		p.done(Result{Err: ErrOutcomeUnknown})
 	}
-	for _, p := range g.inbox.proposals {
+	for _, p := range waiting.proposals {
 		p.done(Result{Err: err})
 	}
-	for _, r := range append(g.reads, g.inbox.reads...) {
+	for _, r := range append(g.reads, waiting.reads...) {
 		r.done(err)
 	}
-	g.reads, g.inbox = nil, inbox{}
+	g.reads = nil
 }
 
 // maybeSnapshot starts a snapshot in the background if the log has grown to
--- a/internal/consensus/raft/write_test.go
+++ b/internal/consensus/raft/write_test.go
@@ -174,3 +174,22 @@
 	qt.Assert(t, r.log.stored.Entries[1].Term, qt.Equals, uint64(2))
 	qt.Assert(t, r.log.stored.HardState.Term, qt.Equals, uint64(2))
 }
+
+// TestCallbacksAtTheStop guards against a group that never stops, because the callback of a command that
+// the stop fails calls the group again.
+func TestCallbacksAtTheStop(t *testing.T) {
+	c := newCluster(1, 1)
+	g := c.replicas[1].group
+	g.Propose(nil, func(Result) { g.Tick() })
+	g.ReadBarrier(func(error) { g.Tick() })
+	stopped := make(chan struct{})
+	go func() {
+		g.failPending(ErrStopped)
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the group does not stop")
+	}
+}
