side: leases are renewed until the last item has ended

What callers saw: items that are not idempotent failed as "may have run" although they ran to their end, when their side was stopped while they ran longer than their lease.

Cause: a draining side waits for such items, but stopped renewing leases at the signal.

Change: renewals go on until no item runs.

TestLeasesAreRenewedWhileDraining failed before and passes five of five with the race detector.

--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -105,14 +105,14 @@
 // items, preempts running idempotent ones, waits for the rest and reports their outcomes.
 func (w *worker) run(ctx context.Context) {
 	var g conc.WaitGroup
-	report, stopReport := context.WithCancel(context.WithoutCancel(ctx))
-	g.Go(func() { w.reportLoop(report) })
-	g.Go(func() { w.renewLoop(ctx) })
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	g.Go(func() { w.reportLoop(running) })
+	g.Go(func() { w.renewLoop(running) })
 	w.leaseLoop(ctx)
 	w.returnAllQueued()
 	w.preemptRunning()
 	w.tasks.Wait()
-	stopReport()
+	stop()
 	g.Wait()
 	w.reportOutcomes()
 }
--- a/internal/role/side/worker_test.go
+++ b/internal/role/side/worker_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +16,8 @@
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 	"rhubarbgate.example/rhubarbgate/platform"
 	"rhubarbgate.example/rhubarbgate/platform/platformtest"
 )
@@ -67,6 +72,43 @@
 	}
 }
 
+// TestLeasesAreRenewedWhileDraining guards against items that fail although they run to their end, because
+// their leases expire while the side drains.
+func TestLeasesAreRenewedWhileDraining(t *testing.T) {
+	c := qt.New(t)
+	w, task := newBatchOnlyWorker(t, &platformtest.Target{}, clockwork.NewRealClock())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	renewed := make(chan *control.Renew, 16)
+	mux := wire.NewMux()
+	wire.Unary(mux, control.MethodRenew, wire.Daemons, func(_ context.Context, in *control.Renew) (*control.RenewReply, error) {
+		renewed <- in
+		return &control.RenewReply{Live: slices.Repeat([]bool{true}, len(in.Items))}, nil
+	})
+	go func() { _ = mux.Serve(t.Context(), l) }()
+	w.host.control.SetHosts([]netip.AddrPort{l.Addr().(*net.TCPAddr).AddrPort()})
+
+	ctx, drain := context.WithCancel(t.Context())
+	drain()
+	task.leaseExpiry = time.Now().Add(time.Minute)
+	w.leased[task.grant.Ref] = task
+	ended := make(chan struct{})
+	w.tasks.Go(func() { <-ended })
+	finished := make(chan struct{})
+	go func() {
+		w.run(ctx)
+		close(finished)
+	}()
+	select {
+	case in := <-renewed:
+		c.Check(in.Items, qt.DeepEquals, []jobs.ItemRef{task.grant.Ref})
+	case <-time.After(10 * time.Second):
+		c.Error("the lease of the running item is not renewed")
+	}
+	close(ended)
+	<-finished
+}
+
 // panickingDialect panics when an item is encoded.
 type panickingDialect struct{ platform.Dialect }
 
