ingress: a caller's deadline holds on routes without a timeout

What callers saw: on a route without a timeout a request went on for 30 s, also if its caller said that it waits less: targets worked, and retries were made, for nobody.

Cause: the caller's time was compared with the route's before the default took the place of a missing one.

Change: the default is set first.

TestRequestTimeout failed before in the case "caller only".

--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// defaultTimeout bounds a request whose route sets no timeout, whatever its caller
-	// sets. A batch job has it if its caller sets none.
+	// defaultTimeout bounds a request whose route sets no timeout. A batch job has it if its
+	// caller sets none.
 	defaultTimeout = 30 * time.Second
 	// maxStartWait bounds the wait of a request for the first configuration, which the
 	// fleet has that long after all hosts started. startWaitDivisor limits the wait to a
@@ -70,15 +70,24 @@
 	if l := x.Config.Limits; l != nil && l.BodyBytes > 0 && len(x.HTTP.Request.Body()) > l.BodyBytes {
 		return notRun(rhubarbgate.CodeTooLarge, "the body has %d bytes, more than %d", len(x.HTTP.Request.Body()), l.BodyBytes)
 	}
+	x.Deadline = x.Arrived.Add(requestTimeout(r, x.Call.Timeout))
+	return next(x)
+}
+
+// requestTimeout returns the time for a request of the route whose caller waits that long, 0 if the
+// caller does not say.
+func requestTimeout(r rhubarbgate.Route, callerTimeout time.Duration) time.Duration {
 	timeout := r.Timeout
-	if r.Kind == rhubarbgate.BatchJob || x.Call.Timeout > 0 && x.Call.Timeout < timeout {
-		timeout = x.Call.Timeout
+	if r.Kind == rhubarbgate.BatchJob {
+		timeout = callerTimeout
 	}
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	x.Deadline = x.Arrived.Add(timeout)
-	return next(x)
+	if callerTimeout > 0 {
+		timeout = min(timeout, callerTimeout)
+	}
+	return timeout
 }
 
 // awaitConfiguration waits briefly for the first confirmed configuration of an entry that has
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -890,6 +890,30 @@
 	}
 }
 
+// TestRequestTimeout guards against requests that go on when their callers do not wait any more.
+func TestRequestTimeout(t *testing.T) {
+	const second = time.Second
+	tests := []struct {
+		name                string
+		kind                rhubarbgate.RouteKind
+		route, caller, want time.Duration
+	}{
+		{"neither", rhubarbgate.Streaming, 0, 0, defaultTimeout},
+		{"route only", rhubarbgate.Streaming, 5 * second, 0, 5 * second},
+		{"caller only", rhubarbgate.Streaming, 0, 2 * second, 2 * second},
+		{"caller waits longer than the default", rhubarbgate.Streaming, 0, 2 * defaultTimeout, defaultTimeout},
+		{"shorter one of the caller", rhubarbgate.Streaming, 5 * second, 2 * second, 2 * second},
+		{"shorter one of the route", rhubarbgate.Streaming, 2 * second, 5 * second, 2 * second},
+		{"job", rhubarbgate.BatchJob, 2 * second, 60 * second, 60 * second},
+		{"job, caller sets none", rhubarbgate.BatchJob, 2 * second, 0, defaultTimeout},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, requestTimeout(rhubarbgate.Route{Kind: test.kind, Timeout: test.route}, test.caller), qt.Equals, test.want)
+		})
+	}
+}
+
 // firstPicker chooses the first candidate.
 type firstPicker struct{}
 
