raft: no change of the members during a transfer of leadership

What could happen: a leader that hands over took a change of the members. The next leader may lack the entry, so that its outcome stays unknown, or may be the member that the change removes.

Cause: commands are refused during a transfer, membership changes were not.

Change: they are refused as by a replica that does not lead; callers repeat them with the next leader.

TestNoMembershipChangeDuringATransfer failed before.

--- a/internal/consensus/raft/membership.go
+++ b/internal/consensus/raft/membership.go
@@ -59,7 +59,7 @@
 // at most. It returns ErrBusy until the previous membership and the leader's first
 // entry are committed: only then do the quorums of the old and new membership overlap.
 func (c *core) proposeMembers(m Members) (uint64, uint64, error) {
-	if c.phase != Leader {
+	if c.phase != Leader || c.transferee != 0 {
 		return 0, 0, ErrNotLeader
 	}
 	if c.membersIndex > c.commitIndex || c.commitIndex < c.noopIndex {
--- a/internal/consensus/raft/raft_test.go
+++ b/internal/consensus/raft/raft_test.go
@@ -438,3 +438,20 @@
 		}
 	}
 }
+
+// TestNoMembershipChangeDuringATransfer guards against a leader that hands over while it changes the
+// members: the next leader may lack the change, or not be a member after it.
+func TestNoMembershipChangeDuringATransfer(t *testing.T) {
+	c := newCluster(1, 3)
+	c.run(5 * time.Second)
+	old := c.leader()
+	qt.Assert(t, old, qt.IsNotNil)
+	var err error
+	old.group.TransferLeadership()
+	old.group.ChangeMembers(func(m Members) Members {
+		return slices.DeleteFunc(slices.Clone(m), func(x Member) bool { return x.ID == old.self.ID%3+1 })
+	}, func(r Result) { err = r.Err })
+	c.run(5 * time.Second)
+	qt.Assert(t, err, qt.Equals, ErrNotLeader)
+	qt.Assert(t, c.leader().group.Status().Members, qt.HasLen, 3)
+}
