disk: a torn record whose data looks like a record is a torn record

What could happen: after a loss of power during a write a control or store host did not start ("corrupt"), if the entry's data held bytes of a valid record. Callers choose the data of items, and a checksum is no secret.

Cause: a damaged record counts as corruption if a valid one follows, and the search for it began within the damaged one's data.

Change: if the header is intact, and so the length is known, the search begins after the record. With a damaged header it begins at the next byte, as before.

--- a/internal/storage/disk/disk_test.go
+++ b/internal/storage/disk/disk_test.go
@@ -101,6 +101,29 @@
 	}
 }
 
+// TestTornRecordWithAFrameInside guards against a host that does not start after a crash during the
+// write of an entry whose data, which callers choose, looks like a record.
+func TestTornRecordWithAFrameInside(t *testing.T) {
+	inside := appendFrame(nil, []byte("data"))
+	l := &Log{Dir: t.TempDir()}
+	_, _, err := l.Load()
+	must(t, err)
+	must(t, l.Reset(raft.Stored{Base: raft.SnapshotMeta{Members: members()}}))
+	must(t, l.Append(raft.HardState{Term: 1}, []raft.Entry{entry(1, 1)}))
+	acknowledged := l.size
+	must(t, l.Append(raft.HardState{Term: 1}, []raft.Entry{{Term: 1, Index: 2, Kind: raft.EntryCommand, Data: append(inside, "more"...)}}))
+	b, err := os.ReadFile(l.path())
+	must(t, err)
+	for size := int(acknowledged); size < len(b); size++ {
+		must(t, os.WriteFile(l.path(), b[:size], 0o600))
+		reopened := &Log{Dir: l.Dir}
+		s, _, err := reopened.Load()
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("cut after %d of %d bytes", size, len(b)))
+		qt.Assert(t, s.Entries, qt.HasLen, 1)
+		reopened.Close()
+	}
+}
+
 // snapshotContent is a rhubarbgate.SnapshotWriter of fixed bytes.
 type snapshotContent []byte
 
--- a/internal/storage/disk/frame.go
+++ b/internal/storage/disk/frame.go
@@ -37,21 +37,25 @@
 // parseFrame returns the payload of the frame at the start of b and the size of
 // the frame with its header; ok is false if b does not start with a valid frame.
 func parseFrame(b []byte) (payload []byte, size int, ok bool) {
-	if len(b) < headerBytes {
+	size, ok = parseHeader(b)
+	if !ok || size > len(b) {
 		return nil, 0, false
 	}
-	if crc32.Checksum(b[:8], castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
-		return nil, 0, false
-	}
-	n := int(binary.LittleEndian.Uint32(b))
-	if n > maxFrameBytes || headerBytes+n > len(b) {
-		return nil, 0, false
-	}
-	payload = b[headerBytes : headerBytes+n]
+	payload = b[headerBytes:size]
 	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[4:]) {
 		return nil, 0, false
 	}
-	return payload, headerBytes + n, true
+	return payload, size, true
+}
+
+// parseHeader returns the size of the frame whose header is at the start of b; ok is
+// false if the header is not valid.
+func parseHeader(b []byte) (size int, ok bool) {
+	if len(b) < headerBytes || crc32.Checksum(b[:8], castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return 0, false
+	}
+	n := int(binary.LittleEndian.Uint32(b))
+	return headerBytes + n, n <= maxFrameBytes
 }
 
 // scanFrames calls f for each frame of b and returns the size of the valid part.
@@ -75,10 +79,15 @@
 	return at, nil
 }
 
-// hasLaterFrame reports whether a valid frame starts at any byte of b but the
-// first.
+// hasLaterFrame reports whether a valid frame starts after the invalid one at the start
+// of b, whose payload may contain what looks like a frame. If its header is not valid
+// either, its end is not known, and any byte of b but the first may start a frame.
 func hasLaterFrame(b []byte) bool {
-	for i := 1; i+headerBytes <= len(b); i++ {
+	first, ok := parseHeader(b)
+	if !ok {
+		first = 1
+	}
+	for i := first; i+headerBytes <= len(b); i++ {
 		// A header of zeros is invalid; don't compute checksums over runs of zeros.
 		if bytes.Equal(b[i:i+headerBytes], make([]byte, headerBytes)) {
 			continue
