replica: only the leader of a group gives up jobs

What could happen: an entry's certificate was enough to fail all open items of any job, and a second field in a command, which nobody sends, hid a command that only the leader issues from the check.

Cause: GiveUp came after the list of the leader's own commands, and the check stopped at the first field that it knew.

Change: the leader's commands are refused first, GiveUp among them.

TestCommandsOfTheLeader failed before in three of 18 cases.

--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -186,6 +186,8 @@
 	}
 	ok := false
 	switch {
+	case c.Jobs != nil && (c.Jobs.Lease != nil || c.Jobs.Expire != nil || c.Jobs.Collect != nil || c.Jobs.GiveUp != nil):
+		// Only the group's leader issues these, and it proposes them directly.
 	case c.Claims != nil || c.Burn != nil:
 		ok = p.Role == wire.RoleEntry
 	case c.Jobs == nil:
@@ -193,8 +195,6 @@
 		ok = p.Role == wire.RoleSide
 	case c.Jobs.CancelJob != nil:
 		ok = p.Role != wire.RoleSide
-	case c.Jobs.Lease != nil || c.Jobs.Expire != nil || c.Jobs.Collect != nil:
-		// Only the group's leader issues these, and it proposes them directly.
 	default:
 		ok = p.Role == wire.RoleEntry
 	}
