streams: they go on after all control hosts lost power

Cause: which versions were listed lately was only in the memory of the control hosts, so after a restart nobody knew it for 10 s.

A history that is later than now, or had several versions, refuses as before.

--- a/internal/policy/versions/history.go
+++ b/internal/policy/versions/history.go
@@ -2,6 +2,7 @@
 package versions
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -15,6 +16,9 @@
 const (
 	// maxListAge is the age of the list from which on it says nothing of the present.
 	maxListAge = 3 * time.Second
+	// maxRestartGap is the longest time without a list, around a restart of the process, that does not
+	// interrupt the history. No target can start, serve under a version and end within it.
+	maxRestartGap = 8 * time.Second
 	// retention is how long versions are remembered that are not listed any more.
 	retention = 10 * time.Minute
 )
@@ -34,6 +38,7 @@
 	// since is when the list began to be followed without a gap, and newest when it was last requested.
 	since, newest time.Time
 	lastListed    map[key]time.Time
+	restored      bool // and no list was observed since
 }
 
 // key identifies a version of a service's software.
@@ -49,7 +54,11 @@
 	if h.lastListed == nil {
 		h.lastListed = map[key]time.Time{}
 	}
-	if h.newest.IsZero() || requestedAt.Sub(h.newest) > maxListAge {
+	maxGap := maxListAge
+	if h.restored {
+		maxGap, h.restored = maxRestartGap, false
+	}
+	if h.newest.IsZero() || requestedAt.Sub(h.newest) > maxGap {
 		h.since = requestedAt
 	}
 	// What the list before had may have been there until now.
@@ -108,3 +117,60 @@
 	}
 	return listed[0].Version, true
 }
+
+// Saved is what a History keeps over a restart of the process.
+type Saved struct {
+	Since, Newest time.Time
+	Listed        []SavedVersion
+}
+
+// SavedVersion is a version of a service's software and when the list last had it.
+type SavedVersion struct {
+	Service, Version string
+	At               time.Time
+}
+
+// Save returns what to restore after a restart.
+func (h *History) Save() Saved {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := Saved{Since: h.since, Newest: h.newest}
+	for k, at := range h.lastListed {
+		s.Listed = append(s.Listed, SavedVersion{k.service, k.version, at})
+	}
+	slices.SortFunc(s.Listed, func(a, b SavedVersion) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return s
+}
+
+// Restore continues a saved history. It has no effect if the history is too old for that, or later
+// than now because the time of day was set back.
+func (h *History) Restore(s Saved) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	if s.Newest.IsZero() || s.Newest.After(now) || now.Sub(s.Newest) > maxRestartGap {
+		return
+	}
+	h.since, h.newest, h.restored, h.lastListed = s.Since, s.Newest, true, map[key]time.Time{}
+	for _, v := range s.Listed {
+		h.lastListed[key{v.Service, v.Version}] = v.At
+	}
+}
+
+// SameVersions reports whether the newest lists of two saved histories had the same versions.
+func (s Saved) SameVersions(o Saved) bool {
+	return slices.Equal(s.newest(), o.newest())
+}
+
+// newest returns the versions in the newest list, in order.
+func (s Saved) newest() []key {
+	var r []key
+	for _, v := range s.Listed {
+		if v.At.Equal(s.Newest) {
+			r = append(r, key{v.Service, v.Version})
+		}
+	}
+	return r
+}
--- a/internal/policy/versions/history_test.go
+++ b/internal/policy/versions/history_test.go
@@ -49,3 +49,47 @@
 		})
 	}
 }
+
+// TestHistoryOutlivesARestart guards against refusing streams after all control hosts lost power, and
+// against taking a version for the only one although others may have served meanwhile.
+func TestHistoryOutlivesARestart(t *testing.T) {
+	const window = 10 * time.Second
+	tests := []struct {
+		name          string
+		before, after string
+		down          time.Duration
+		want          string
+	}{
+		{"short", "aaaaaaaaaaaa", "a", 3 * time.Second, "a"},
+		{"known for too short before", "aa", "a", 3 * time.Second, ""},
+		{"several versions before", "aaaaaabaaaaa", "a", 3 * time.Second, ""},
+		{"another version afterwards", "aaaaaaaaaaaa", "b", 3 * time.Second, ""},
+		{"another version later", "aaaaaaaaaaaa", "aab", 3 * time.Second, ""},
+		{"no list yet", "aaaaaaaaaaaa", "", 4 * time.Second, ""},
+		{"long", "aaaaaaaaaaaa", "a", maxRestartGap, ""},
+		{"time of day set back", "aaaaaaaaaaaa", "a", -time.Minute, ""},
+		{"lists with a gap afterwards", "aaaaaaaaaaaa", "a    a", 3 * time.Second, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			observe := func(h *History, lists string) {
+				for _, v := range lists {
+					clock.Advance(time.Second)
+					if v != ' ' {
+						h.Observe([]rhubarbgate.Instance{{Service: "s", Version: string(v)}}, clock.Now())
+					}
+				}
+			}
+			h := &History{Clock: clock}
+			observe(h, test.before)
+			saved := h.Save()
+			clock.Advance(test.down)
+			h = &History{Clock: clock}
+			h.Restore(saved)
+			observe(h, test.after)
+			got, _ := h.Only("s", window)
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -185,6 +185,10 @@
 			// The daemons report what they know of it.
 			h.Logger.WithError(err).Warn("the saved quarantine cannot be read")
 		}
+		if err := h.loadVersions(); err != nil {
+			// Streams that began before are refused for a while.
+			h.Logger.WithError(err).Warn("the saved history of software versions cannot be read")
+		}
 	}
 	for i := 1; i <= h.JobGroups; i++ {
 		if err := h.addJobGroup(uint32(i)); err != nil {
@@ -285,6 +289,7 @@
 	} else {
 		tasks.Go(func() { h.bootstrap(work) })
 		tasks.Go(func() { h.saveQuarantine(work) })
+		tasks.Go(func() { h.saveVersions(work) })
 	}
 	if h.Directory != nil {
 		tasks.Go(func() { h.pollTargets(work) })
