command: soak refuses flags that make no run

Cause: the numbers were used as they came; a negative one became a huge count.

Change: seeds, duration, size and injectors are checked as the flags of the other commands are. The case "soak" of TestBadSettingsAreListed failed before.

--- a/internal/command/rhubarbgate/command_test.go
+++ b/internal/command/rhubarbgate/command_test.go
@@ -30,6 +30,7 @@
 		{"quarantine", []string{"quarantine", "list", "--control", "nowhere", "--key", "k"}, []string{"--control", "--certificate"}},
 		{"unknown flag", []string{"entry", "--colour", "red"}, []string{"--colour"}},
 		{"load", []string{"load", "--rate", "0"}, []string{"--rate"}},
+		{"soak", []string{"soak", "--seeds", "0", "--duration", "0s", "--size", "0", "--injectors", "-1"}, []string{"--seeds", "--duration", "--size", "--injectors"}},
 	}
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
--- a/internal/command/rhubarbgate/soak.go
+++ b/internal/command/rhubarbgate/soak.go
@@ -35,7 +35,15 @@
 	f.StringVar(&dir, "dir", "", "folder for data and logs; empty means a temporary one; each seed's subfolder is removed if its checks pass, and if all checks pass, the whole folder is removed with everything in it")
 	f.StringVar(&binary, "binary", "", "program whose processes the fleet runs, such as an earlier build; empty means this one")
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		var err error
+		var v validator
+		v.require(seeds > 0, "seeds", "is not positive")
+		v.require(duration > 0, "duration", "is not positive")
+		v.require(size > 0, "size", "is not positive")
+		v.require(injectors >= 0, "injectors", "is negative")
+		err := v.err()
+		if err != nil {
+			return err
+		}
 		if binary == "" {
 			if binary, err = os.Executable(); err != nil {
 				return errors.Trace(err)
