command: soak removes only what it made

Cause: the folder was treated like a temporary one.

Change: only the seeds' subfolders are removed, which must be new, and a folder that soak made itself. TestSoakKeepsForeignFiles failed before: the run went on in a folder that was there.

--- a/internal/command/rhubarbgate/command_test.go
+++ b/internal/command/rhubarbgate/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -73,3 +74,17 @@
 	c.Assert(code, qt.Equals, exitUsage)
 	c.Assert(errs, qt.Contains, "king")
 }
+
+// TestSoakKeepsForeignFiles guards against removing what soak did not write: the rest of the folder
+// that it is given, and a folder that is in the place of a seed's.
+func TestSoakKeepsForeignFiles(t *testing.T) {
+	dir := t.TempDir()
+	foreign := filepath.Join(dir, "7", "file")
+	qt.Assert(t, os.Mkdir(filepath.Dir(foreign), 0o700), qt.IsNil)
+	qt.Assert(t, os.WriteFile(foreign, nil, 0o600), qt.IsNil)
+	code, _, errs := run("soak", "--seed", "7", "--duration", "1ms", "--dir", dir, "--binary", filepath.Join(dir, "none"))
+	qt.Assert(t, code, qt.Not(qt.Equals), 0)
+	qt.Assert(t, errs, qt.Contains, "exists")
+	_, err := os.Stat(foreign)
+	qt.Assert(t, err, qt.IsNil)
+}
--- a/internal/command/rhubarbgate/soak.go
+++ b/internal/command/rhubarbgate/soak.go
@@ -32,7 +32,7 @@
 	f.IntVar(&size, "size", 1, "multiplies the numbers of entries, targets with their sides, and callers")
 	f.BoolVar(&crashingItem, "crashing-item", false, "a batch item crashes targets, in place of requests with one part in their prompts")
 	f.IntVar(&injectors, "injectors", 0, "series of faults injected at the same time; 0 means 2")
-	f.StringVar(&dir, "dir", "", "folder for data and logs; empty means a temporary one; each seed's subfolder is removed if its checks pass, and if all checks pass, the whole folder is removed with everything in it")
+	f.StringVar(&dir, "dir", "", "folder for data and logs, with a new subfolder for each seed; empty means a temporary one; a seed's subfolder is removed if its checks pass, and a temporary folder if all do")
 	f.StringVar(&binary, "binary", "", "program whose processes the fleet runs, such as an earlier build; empty means this one")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		var v validator
@@ -49,7 +49,8 @@
 				return errors.Trace(err)
 			}
 		}
-		if dir == "" {
+		temporary := dir == ""
+		if temporary {
 			if dir, err = os.MkdirTemp("", "rhubarbgate-soak"); err != nil {
 				return errors.Trace(err)
 			}
@@ -57,7 +58,11 @@
 		failedSeeds := 0
 		for i := range uint64(seeds) {
 			sub := filepath.Join(dir, strconv.FormatUint(seed+i, 10))
-			if err := os.MkdirAll(sub, 0o700); err != nil {
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				return errors.Trace(err)
+			}
+			// Mkdir fails for a folder that is there already, whose content would be removed.
+			if err := os.Mkdir(sub, 0o700); err != nil {
 				return errors.Trace(err)
 			}
 			s := &fleet.Soak{Binary: binary, Dir: sub, Seed: seed + i, Duration: duration, Size: size, Injectors: injectors, CrashingItem: crashingItem, Clock: clockwork.NewRealClock(), Logger: newLogger(os.Stderr, "soak")}
@@ -79,7 +84,10 @@
 		if failedSeeds > 0 {
 			return errors.Errorf("%d of %d seeds failed a check; logs in %s", failedSeeds, seeds, dir)
 		}
-		return errors.Trace(os.RemoveAll(dir))
+		if temporary {
+			return errors.Trace(os.RemoveAll(dir))
+		}
+		return nil
 	}
 	return c
 }
