caller: unlimited workspaces are not limited

What callers saw, at entries of the product's own interface: 429 for all requests of a workspace that is configured as unlimited and so has no rate.

Cause: the filter for rates asked for tokens in any case; that of the platform's entries does not.

TestUnlimitedWorkspace failed before.

--- a/internal/http/caller/admit.go
+++ b/internal/http/caller/admit.go
@@ -17,12 +17,12 @@
 )
 
 // rateFilter takes a token of the workspace's rate limit, waiting for it if necessary. Open
-// routes have no workspace and are not limited.
+// routes have no workspace and are not limited, nor are unlimited workspaces.
 type rateFilter struct{ server *Server }
 
 // Handle implements Filter.
 func (f *rateFilter) Handle(x *Exchange, next Handler) error {
-	if x.Open {
+	if x.Open || x.Config.Workspaces[x.Workspace].Unlimited {
 		return next(x)
 	}
 	maxWait := min(maxTokenWait, x.remaining(f.server.Clock.Now())/tokenWaitDivisor)
--- a/internal/http/caller/caller_test.go
+++ b/internal/http/caller/caller_test.go
@@ -31,7 +31,11 @@
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
 
-const secret = "the-callers-secret"
+const (
+	secret = "the-callers-secret"
+	// freeSecret is the key of the workspace "free".
+	freeSecret = "another-callers-secret"
+)
 
 // fakeSide is a side whose response to each request script sends.
 type fakeSide struct {
@@ -79,15 +83,15 @@
 	clock  *clockwork.FakeClock
 }
 
-// newEntry starts a server with the workspace "w", the model "small", the route "slips",
+// newEntry starts a server with the workspaces "w" and "free", which is unlimited, the model "small", the route "slips",
 // which is not idempotent, and the open route "open". All sides serve all of them.
 func newEntry(t *testing.T, sides ...*fakeSide) *testEntry {
 	clock := clockwork.NewFakeClockAt(time.Now())
 	logger := &log.Logger{Handler: discard.New()}
 	client := wire.NewClient(nil)
 	s := rhubarbgate.Section{
-		Workspaces: []rhubarbgate.Workspace{{Name: "w", Rate: 1, Burst: 1}},
-		Keys:       []rhubarbgate.Key{{Digest: config.KeyDigest(secret), Workspace: "w"}},
+		Workspaces: []rhubarbgate.Workspace{{Name: "w", Rate: 1, Burst: 1}, {Name: "free", Unlimited: true}},
+		Keys:       []rhubarbgate.Key{{Digest: config.KeyDigest(secret), Workspace: "w"}, {Digest: config.KeyDigest(freeSecret), Workspace: "free"}},
 		Models:     []rhubarbgate.Model{{Name: "small"}},
 		Routes:     []rhubarbgate.Route{{Name: "slips"}, {Name: "open", Open: true, Idempotent: true}},
 	}
@@ -294,6 +298,19 @@
 	qt.Assert(t, e.post(t, "/services/open/x", "", "").status, qt.Equals, 200)
 }
 
+// TestUnlimitedWorkspace guards against limiting the rate of a workspace that has no limit.
+func TestUnlimitedWorkspace(t *testing.T) {
+	e := newEntry(t, newFakeSide(t, respond("ok")))
+	status := make(chan int, 1)
+	go func() { status <- e.post(t, openai.CompletionPath, freeSecret, completion).status }()
+	select {
+	case got := <-status:
+		qt.Assert(t, got, qt.Equals, 200)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request waits for tokens")
+	}
+}
+
 // FuzzCompletion guards against a body that makes the parser panic, and against an error
 // with a verdict other than NotRun.
 func FuzzCompletion(f *testing.F) {
