jobs: a key that is not known names no file

Cause: the check for an empty ID was lost in the last change of finishFile; a file with an empty ID would have been taken for that of a known key. Change: the check is back. Result: the package's tests pass.

--- a/internal/state/jobs/files.go
+++ b/internal/state/jobs/files.go
@@ -76,7 +76,7 @@
 func (m *Machine) finishFile(at time.Time, c *FinishFile) *Result {
 	name := idempotencyKey{c.Workspace, "file", c.Key}
 	f, notFound := m.findFile(c.File, c.Workspace)
-	if id, r := m.lookUpKey(name, c.Digest); r != nil || m.files[id] != nil {
+	if id, r := m.lookUpKey(name, c.Digest); r != nil || id != "" && m.files[id] != nil {
 		if f != nil && f.State == Uploading {
 			delete(m.files, c.File)
 		}
