entry: tests remove the hosts' folders after the hosts have stopped

Cause: cleanups run in reverse order, and the folder was made after the cleanup that stops the hosts, so it was removed under them.

Change: the folder is made first. No check changes.

--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -74,6 +74,8 @@
 	list.Set(f.targets)
 	qt.Assert(t, list.Start(), qt.IsNil)
 	t.Cleanup(list.Close)
+	// Folders are removed after later cleanups, when no host writes to them any more.
+	dir := t.TempDir()
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		f.stopEntries()
@@ -88,7 +90,6 @@
 	}
 	clock, logger := clockwork.NewRealClock(), &log.Logger{Handler: discard.New()}
 	f.directory = &platform.Directory{Client: &target.Client{Address: list.Address()}}
-	dir := t.TempDir()
 	for i, l := range listeners {
 		h := &replica.Host{
 			Data: filepath.Join(dir, fmt.Sprint(i)), Listen: f.seeds[i], Seeds: f.seeds, Listener: l, Name: fmt.Sprint(i), AvailabilityZone: "z",
