discovery: an address tells nothing of the service of its new target (ROUTE)

Cause: an entry that gets a 421 asked the side on that host, and the side answered from the platform's list, which lags: the old target's service, or none. Both counted as a confirmation. Sides adopted for their items by the address alone.

Evidence: the entry's line 'target restarted, ahead of the list' just before the first wrong run, with the old service, 0.08 s before the side's own list had the new instance; without a side nothing is adopted; the list itself was right.

Fix: time vouches instead. The platform leaves an address unused for a while (--address-reuse-delay, from its settings) before another service gets it. A side, which reads its target's load all the time, knows since when there was no such pause; an entry or side adopts an instance only if the earlier one ran a request of its own within that time. What cannot be adopted is not used: the earlier instance gets no requests for 2 s, since they are refused. The question to sides has a new name, so that two builds do not misunderstand each other.

Tests: TestAddressOfATargetThatGoesToAnotherService failed before in both cases with another service (6 requests ran there, each), TestItemsAtAnAddressThatGoesToAnotherService with 1 item; both pass. TestAdoptionNeedsContinuity and TestPresence are new. The case 'beside, not listed' of TestOnlyTheSideBesideATargetConfirmsIt held the wrong belief; its new cases ask for more. TestRestartedTargetIsUsedAheadOfTheList first lets each target run a request, without which nothing may be adopted any more.

--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -103,7 +103,7 @@
 
 // runForListedTarget runs a side for a target on the platform's list. Entries
 // send online requests directly to such a target; the side runs its batch items
-// and listens only if it has a fleet port, for entries that ask which target it has.
+// and listens only if it has a fleet port, for entries that ask for how long its target has been there.
 func (s *sideFlags) runForListedTarget(ctx context.Context) error {
 	var v validator
 	a := s.check(&v)
@@ -111,7 +111,7 @@
 	h := &side.Host{
 		Name: s.name, Target: t, AvailabilityZone: s.availabilityZone, Slots: s.slots, Batch: true,
 		Control: replacePorts(a.control, s.direct.fleetPort), Parents: replacePorts(a.parents, s.direct.fleetPort),
-		Clock: boottime.New(), Random: newRandom(0), Logger: newLogger(os.Stdout, "side"), Metrics: newMetrics("Side"),
+		Clock: boottime.New(), Random: newRandom(0), Logger: newLogger(os.Stdout, "side"), Metrics: newMetrics("Side"), AddressReuseDelay: s.reuseDelay,
 		MaxAge: s.maxAge, Grace: s.grace, Dialect: platform.Dialect{}, Dialer: socket.Dialer(fleetDialTimeout),
 		// A report of some milliseconds ago, which may come late, serves as well.
 		Probe: &platform.Engine{Client: &target.Client{Address: t, Dialer: socket.Dialer(fleetDialTimeout), KeepUnidentified: true}},
@@ -121,7 +121,9 @@
 		Failures: newCounter(h.Metrics, "ListFailures"), Unreadable: newCounter(h.Metrics, "ListEntriesUnreadable"),
 		Opened: newCounter(h.Metrics, "TargetConnections"), Ejections: newCounter(h.Metrics, "TargetsEjected"),
 		IDHeader: h.Dialect.IDHeader(), Strays: newCounter(h.Metrics, "AnswersOfOthers"),
+		Adopted: newCounter(h.Metrics, "TargetsAdopted"), Unconfirmed: newCounter(h.Metrics, "TargetsUnconfirmed"),
 	}
+	v.require(s.reuseDelay >= 0, "address-reuse-delay", "is negative")
 	v.require(s.name != "", "target-name", "is missing")
 	v.require(s.slots > 0, "slots", "is not positive")
 	if err := v.err(); err != nil {
@@ -139,13 +141,13 @@
 	return errors.Trace(h.Run(ctx))
 }
 
-// listenForEntries listens for entries that ask which target a side has. Without a listener,
+// listenForEntries listens for entries that ask about a side's target. Without a listener,
 // as on a host with several targets whose address another side took, the side only cannot
 // confirm that its target restarted, so a failure is logged and does not stop it.
 func listenForEntries(a netip.AddrPort, l log.Interface) net.Listener {
 	listener, err := socket.Listen(a.String())
 	if err != nil {
-		l.WithError(err).WithField("listen", a.String()).Warn("entries cannot ask this side for its target")
+		l.WithError(err).WithField("listen", a.String()).Warn("entries cannot ask this side about its target")
 		return nil
 	}
 	return listener
--- a/internal/command/rhubarbgate/side.go
+++ b/internal/command/rhubarbgate/side.go
@@ -27,6 +27,7 @@
 	target, name, models string
 	slots                int
 	batch, firstCome     bool
+	reuseDelay           time.Duration
 	direct               directFlags
 }
 
@@ -45,6 +46,7 @@
 	f.IntVar(&s.slots, "slots", defaultSlots, "most requests that the target runs concurrently")
 	f.BoolVar(&s.batch, "batch", true, "without --target-list: run batch items in slots that online requests leave free")
 	f.BoolVar(&s.firstCome, "first-come", false, "without --target-list: admit work in order of arrival instead of by the gate's priorities (baseline of measurements)")
+	f.DurationVar(&s.reuseDelay, "address-reuse-delay", 0, "with --target-list: how long an address stays unused before the platform gives it to a target of another service; 0 means that this is not known, so that a restarted target is used only when the list shows it")
 	s.direct.add(f)
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if s.direct.targetList != "" {
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -59,9 +59,9 @@
 	AvailabilityZone string
 	// Dialer opens connections to targets; nil means one with a timeout of 250 ms.
 	Dialer *net.Dialer
-	// Confirm, if set, reports whether a side of the fleet shows that the address of an
-	// instance still belongs to its service; see Adopt.
-	Confirm func(ctx context.Context, i rhubarbgate.Instance) bool
+	// Continuity, if set, returns since when the targets at an address have been of one service, or
+	// false if that is not known; see Adopt.
+	Continuity func(ctx context.Context, address netip.AddrPort) (since time.Time, known bool)
 	// IDHeader is the header with the ID of a request, in requests and responses.
 	IDHeader string
 	// Strays, if set, counts responses that targets sent out of turn.
@@ -74,9 +74,12 @@
 	// that were skipped, Opened new connections to targets, and Ejections targets
 	// that were ejected.
 	Failures, Unreadable, Opened, Ejections *expvar.Int
+	// Adopted and Unconfirmed, if set, count new instances at the addresses of targets that were
+	// used ahead of the list, and those that were not because their service was not known.
+	Adopted, Unconfirmed *expvar.Int
 
 	ejector         health.Ejector
-	confirming      singleflight.Group // calls of Confirm, by address
+	confirming      singleflight.Group // calls of Continuity, by instance and address
 	checkingEnd     singleflight.Group // connection attempts of HasEnded, by name of the target
 	once            sync.Once
 	mu              sync.RWMutex
@@ -122,6 +125,10 @@
 	load     atomic.Pointer[loadReport]
 	// refusedAt is when the target's port last refused a connection, nil after a response.
 	refusedAt atomic.Pointer[time.Time]
+	// ranAt is when the last request was sent that the target is known to have run, nil if there is none.
+	ranAt atomic.Pointer[time.Time]
+	// replacedAt is when another instance last responded at the target's address, nil if none did.
+	replacedAt atomic.Pointer[time.Time]
 }
 
 // loadReport is a load that a target reported and when it arrived.
@@ -395,8 +402,8 @@
 }
 
 // Candidates returns the targets of a service that may run a request, and for each
-// what the choice between them needs. It leaves out leaving targets, those in tried,
-// and ejected ones unless too many are ejected. Targets that are down are left out as long as
+// what the choice between them needs. It leaves out leaving targets, those whose address
+// another instance has, those in tried, and ejected ones unless too many are ejected. Targets that are down are left out as long as
 // there are others, but one attempt of a request may try one of them again after a while.
 func (t *Table) Candidates(service string, idempotent bool, tried []*Target) ([]*Target, []rhubarbgate.Candidate) {
 	t.initialize()
@@ -404,7 +411,7 @@
 	var list, down []*Target
 	t.mu.RLock()
 	for _, x := range t.targets {
-		if x.Instance.Service != service || x.isLeaving() || slices.Contains(tried, x) {
+		if x.Instance.Service != service || x.isLeaving() || x.isReplaced(now) || slices.Contains(tried, x) {
 			continue
 		}
 		if isDown, refused := x.isDown(now); isDown && (len(tried) > 0 || refused < downRetryInterval) {
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -78,6 +78,7 @@
 type attempt struct {
 	*forwardedRequest
 	target   *discovery.Target
+	sent     time.Time
 	response *target.Response
 	head     rhubarbgate.TargetResponse
 	cancel   context.CancelFunc
@@ -228,7 +229,7 @@
 		Instance: t.Instance.ID, Workspace: x.Workspace, Timeout: remaining,
 	})...)
 	ctx, cancel := deadline.WithTimeout(x.Context, s.Clock, remaining)
-	a := &attempt{forwardedRequest: q, target: t, cancel: cancel}
+	a := &attempt{forwardedRequest: q, target: t, sent: now, cancel: cancel}
 	s.Targets.Begin(t)
 	response, failure := t.Client.Do(ctx, &r)
 	if failure != nil {
@@ -319,11 +320,12 @@
 		// The short body of a refusal is read, so that the connection can be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.response, maxRefusalBytes))
 		a.finish(false)
-		if a.restarted = s.Targets.Adopt(a.x.Context, a.target, a.head.Instance); a.restarted != nil {
+		if a.restarted = s.Targets.Adopt(a.x.Context, a.target, a.head.Instance, a.sent); a.restarted != nil {
 			return notRun(rhubarbgate.CodeUnavailable, "target %s restarted as %s", a.target.Instance.ID, a.head.Instance)
 		}
 		return notRun(rhubarbgate.CodeUnavailable, "target %s refused with status %d", a.target.Instance.ID, status)
 	}
+	a.target.RecordRun(a.sent)
 	a.possibleRuns++
 	return nil
 }
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -50,7 +50,7 @@
 	Logger    log.Interface
 	Metrics   *expvar.Map
 	// SidePort is the port at which the side of a target listens, on the target's host; 0
-	// means that sides are not asked for their targets.
+	// means that sides are not asked about their targets.
 	SidePort uint16
 	// MaxAge is the age of the configuration past which the entry is not ready and
 	// refuses requests that need a caller's key.
@@ -64,16 +64,20 @@
 	server *ingress.Server
 }
 
-// confirmTimeout bounds the question to a side whether it runs beside a target.
-const confirmTimeout = 100 * time.Millisecond
+// continuityTimeout bounds the question to a side for how long its target's address has been in use.
+const continuityTimeout = 100 * time.Millisecond
 
-// confirm reports whether the side on the instance's host runs beside its address, and knows
-// of no other service there.
-func (d *Direct) confirm(ctx context.Context, i rhubarbgate.Instance) bool {
-	ctx, cancel := deadline.WithTimeout(ctx, d.Clock, confirmTimeout)
+// continuity asks the side on the host of an address since when the address has been in use without
+// a pause.
+func (d *Direct) continuity(ctx context.Context, address netip.AddrPort) (time.Time, bool) {
+	ctx, cancel := deadline.WithTimeout(ctx, d.Clock, continuityTimeout)
 	defer cancel()
-	r, err := wire.Call[side.BesideReply](ctx, d.Wire, netip.AddrPortFrom(i.Address.Addr(), d.SidePort), side.MethodBeside, &side.Beside{Target: i.Address})
-	return err == nil && r.Yes && (r.Service == "" || r.Service == i.Service)
+	r, err := wire.Call[side.ContinuityReply](ctx, d.Wire, netip.AddrPortFrom(address.Addr(), d.SidePort), side.MethodContinuity, &side.Continuity{Target: address})
+	if err != nil || r.InUse <= 0 {
+		return time.Time{}, false
+	}
+	// The side replied before now, so the address has been in use for longer.
+	return d.Clock.Now().Add(-r.InUse), true
 }
 
 // table returns the table of targets. It gets the list from the control hosts, and
@@ -84,9 +88,10 @@
 		Failures: newCounter(d.Metrics, "ListFailures"), Unreadable: newCounter(d.Metrics, "ListEntriesUnreadable"),
 		Opened: newCounter(d.Metrics, "TargetConnections"), Ejections: newCounter(d.Metrics, "TargetsEjected"),
 		IDHeader: d.Dialect.IDHeader(), Strays: newCounter(d.Metrics, "AnswersOfOthers"),
+		Adopted: newCounter(d.Metrics, "TargetsAdopted"), Unconfirmed: newCounter(d.Metrics, "TargetsUnconfirmed"),
 	}
 	if d.SidePort != 0 {
-		t.Confirm = d.confirm
+		t.Continuity = d.continuity
 	}
 	return t
 }
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -37,7 +37,7 @@
 	if h.Listener != nil {
 		mux := wire.NewMux()
 		mux.OnPanic = wire.LogPanics(h.Logger)
-		wire.Unary(mux, side.MethodBeside, wire.Entries, h.handleBeside)
+		wire.Unary(mux, side.MethodContinuity, wire.Entries, h.handleContinuity)
 		tasks.Go(func() { _ = mux.Serve(work, h.Listener) })
 	}
 	tasks.Go(func() { h.watcher.Run(work) })
@@ -53,10 +53,14 @@
 	return errors.Trace(nil)
 }
 
-// handleBeside tells an entry whether the target at an address is that of this host.
-func (h *Host) handleBeside(_ context.Context, in *side.Beside) (*side.BesideReply, error) {
-	i, _ := h.Targets.Find(h.Target)
-	return &side.BesideReply{Yes: in.Target == h.Target, Service: i.Service}, nil
+// handleContinuity tells an entry for how long the address of this side's target has been in use. The
+// list does not count, as it lags: it may still show a target whose address another one has by now.
+func (h *Host) handleContinuity(_ context.Context, in *side.Continuity) (*side.ContinuityReply, error) {
+	since, known := h.presence.Since()
+	if in.Target != h.Target || !known {
+		return &side.ContinuityReply{}, nil
+	}
+	return &side.ContinuityReply{InUse: h.Clock.Since(since)}, nil
 }
 
 // pollLoad probes the target's load until ctx ends.
@@ -77,6 +81,7 @@
 func (h *Host) probeLoad(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, loadProbeTimeout)
 	defer cancel()
+	sent := h.Clock.Now()
 	l, err := h.Probe.Load(ctx)
 	if err != nil {
 		if !h.targetDown.Load() {
@@ -86,6 +91,7 @@
 		h.keeper.LoadLost()
 		return
 	}
+	h.presence.Observe(sent)
 	h.setTargetDown(false)
 	h.keeper.ObserveLoad(l)
 }
@@ -115,10 +121,10 @@
 	return ok, wait
 }
 
-// targetUsable reports whether the target is listed and not leaving.
+// targetUsable reports whether the target is listed, not leaving, and still at its address.
 func (h *Host) targetUsable() bool {
 	i, ok := h.Targets.Find(h.Target)
-	return ok && !i.Leaving
+	return ok && !i.Leaving && !h.Targets.Replaced(i)
 }
 
 // batchJobRoutes lists the batch-job routes whose items the target may run, none
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -95,6 +95,9 @@
 	// EntryLag is how long a leaving side keeps serving, because entries may not have
 	// received the report that it is leaving.
 	EntryLag time.Duration
+	// AddressReuseDelay is how long the platform leaves an address unused before a target of another
+	// service gets it, if Probe is set; 0 means that it is not known.
+	AddressReuseDelay time.Duration
 
 	startedAt      time.Time
 	wire           *wire.Client
@@ -105,6 +108,7 @@
 	worker         *worker
 	crashes        *crashes.Recorder    // nil without a Probe
 	limits         *targetlimits.Keeper // nil without a Probe
+	presence       *discovery.Presence  // nil without a Probe
 	leaving        atomic.Bool
 	targetDown     atomic.Bool
 	activeRequests atomic.Int64
@@ -198,7 +202,11 @@
 		}
 		h.watcher.OnTargets, h.watcher.OnQuarantine, h.watcher.OnTargetLimits = h.Targets.Update, h.crashes.Update, h.limits.Update
 		h.Targets.NamesService = h.namesService
-		h.Targets.Confirm = func(_ context.Context, i rhubarbgate.Instance) bool { return i.Address == h.Target }
+		h.presence = &discovery.Presence{Clock: h.Clock, ReuseDelay: h.AddressReuseDelay}
+		h.Targets.Continuity = func(_ context.Context, a netip.AddrPort) (time.Time, bool) {
+			since, known := h.presence.Since()
+			return since, known && a == h.Target
+		}
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
 	h.keeper = &gatekeeper.Gatekeeper{Clock: h.Clock, Gate: h.gate(), OnPreempted: h.counts.recordPreemption}
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -90,7 +90,7 @@
 func (w *worker) streamItem(ctx context.Context, t *task) *rhubarbgate.Error {
 	h := w.host
 	i, ok := h.Targets.Find(h.Target)
-	if !ok || i.Leaving {
+	if !ok || i.Leaving || h.Targets.Replaced(i) {
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target at %v is not listed", h.Target)
 	}
 	route, ok := h.configuration().Routes[t.grant.Needs]
@@ -146,12 +146,13 @@
 
 // exchange sends an item to the target and reads the response.
 func (w *worker) exchange(ctx context.Context, t *task, q *target.Request, i rhubarbgate.Instance, onEvent func()) *rhubarbgate.Error {
+	sent := w.clock.Now()
 	a, err := w.host.targetClient.Do(ctx, q)
 	if err != nil {
 		return rhubarbgate.AsError(err)
 	}
 	defer a.Close()
-	if e := w.checkHead(a, i); e != nil {
+	if e := w.checkHead(a, i, sent); e != nil {
 		return e
 	}
 	if err := events.CheckHead(a.Header); err != nil {
@@ -239,17 +240,20 @@
 	return kept
 }
 
-// checkHead classifies the head of an item's response.
-func (w *worker) checkHead(a *target.Response, i rhubarbgate.Instance) *rhubarbgate.Error {
+// checkHead classifies the head of the response to an item that was sent at the given time.
+func (w *worker) checkHead(a *target.Response, i rhubarbgate.Instance, sent time.Time) *rhubarbgate.Error {
 	head := w.host.Dialect.DecodeResponse(a.Status, a.Header)
 	if x := w.host.Targets.Target(i); x != nil {
 		w.host.limits.Observe(x, head.Limit, head.HasLimit)
+		if !head.NotRun {
+			x.RecordRun(sent)
+		}
 	}
 	if head.Leaving {
 		w.host.Targets.RecordLeavingAt(i.ID, i.Address)
 	}
 	switch {
-	case head.NotRun && w.host.Targets.Adopt(context.Background(), w.host.Targets.Target(i), head.Instance) != nil:
+	case head.NotRun && w.host.Targets.Adopt(context.Background(), w.host.Targets.Target(i), head.Instance, sent) != nil:
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target restarted as %s", head.Instance)
 	case head.NotRun:
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target refused with status %d", a.Status)
--- a/internal/rpc/side/message.go
+++ b/internal/rpc/side/message.go
@@ -12,20 +12,17 @@
 
 // Names of the RPC methods.
 const (
-	MethodRun    = "/side/Run"
-	MethodReport = "/side/Report"
-	MethodBeside = "/side/Beside"
+	MethodRun        = "/side/Run"
+	MethodReport     = "/side/Report"
+	MethodContinuity = "/side/Continuity"
 )
 
-// Beside asks whether a side runs beside the target at an address.
-type Beside struct{ Target netip.AddrPort }
+// Continuity asks a side for how long the address of its target has been in use without a pause.
+type Continuity struct{ Target netip.AddrPort }
 
-// BesideReply answers a Beside. Service is that of the target as the side last saw it in the
-// platform's list, empty if it is not listed.
-type BesideReply struct {
-	Yes     bool
-	Service string
-}
+// ContinuityReply answers a Continuity. InUse is 0 if the side does not know, or if its target is at
+// another address.
+type ContinuityReply struct{ InUse time.Duration }
 
 // Header is one HTTP header of a request or response.
 type Header = rhubarbgate.Header
