--- a/internal/http/ingress/exchange.go
+++ b/internal/http/ingress/exchange.go
@@ -11,6 +11,7 @@
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
 
 // Exchange is one request of a caller and its response.
@@ -68,6 +69,15 @@
 	return x.Route.Kind == rhubarbgate.Safe || x.Route.Resumable
 }
 
+// jobOwner returns the workspace whose batch jobs the caller may read and cancel, besides those of no
+// workspace. It is empty, which stands for any, if no workspace is configured.
+func (x *Exchange) jobOwner() string {
+	if x.Workspace == "" && len(x.Config.Workspaces) > 0 {
+		return jobs.NoWorkspace
+	}
+	return x.Workspace
+}
+
 // contentPart returns the ID of the part that stands for the request's content.
 func (x *Exchange) contentPart() string {
 	if x.content == "" {
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -60,10 +60,15 @@
 	path, _, _ = strings.Cut(path, "?")
 	host := string(x.HTTP.Host())
 	if x.Call.Kind != rhubarbgate.Forward {
-		return f.handleJobCall(x, host, next)
+		// A job belongs to its workspace, whatever has become of the route that took it.
+		x.Deadline = x.Arrived.Add(jobTimeout)
+		return next(x)
 	}
 	r, ok := x.Config.Route(host, path)
 	if !ok {
+		if repeated, err := f.server.repeatsSubmission(x); repeated || err != nil {
+			return err
+		}
 		return notRun(rhubarbgate.CodeNotFound, "no route for host %q and path %q", host, path)
 	}
 	x.Route = r
@@ -118,43 +123,51 @@
 	}
 }
 
-// handleJobCall handles a call that reads or cancels a batch job. Only hosts that have a
-// route for batch jobs take such calls.
-func (f *routeFilter) handleJobCall(x *Exchange, host string, next Handler) error {
-	for _, r := range x.Config.RoutesOfHost(host) {
-		if r.Kind == rhubarbgate.BatchJob {
-			x.Deadline = x.Arrived.Add(jobTimeout)
-			return next(x)
-		}
-	}
-	return notRun(rhubarbgate.CodeNotFound, "host %q has no batch jobs", host)
-}
-
 // keyFilter authenticates the caller by its key and sets the workspace. It lets requests
-// pass without a key on open routes, and on all routes if no workspace is configured.
+// pass without a key on open routes, and on all routes if no workspace is configured. Calls
+// about batch jobs pass without a key too: they reach the jobs that belong to no workspace.
 type keyFilter struct{ server *Server }
 
 var bearer = []byte("Bearer ")
 
 // Handle implements Filter.
 func (f *keyFilter) Handle(x *Exchange, next Handler) error {
-	if x.Route.Open || len(x.Config.Workspaces) == 0 {
-		return next(x)
-	}
-	if f.server.configStale() {
-		return notRun(rhubarbgate.CodeStale, "this entry last confirmed its configuration %v ago", f.server.configAge()).WithRetryAfter(f.server.retryAfterControl())
+	switch {
+	case len(x.Config.Workspaces) == 0:
+	case x.Call.Kind != rhubarbgate.Forward && len(x.HTTP.Request.Header.Peek("Authorization")) == 0:
+	case x.Route.Open && x.Route.Kind != rhubarbgate.BatchJob:
+	case x.Route.Open:
+		// A job on an open route belongs to the workspace of its key, if it has one.
+		if err := f.server.identify(x); err != nil && err.Code != rhubarbgate.CodeUnauthorized {
+			return err
+		}
+	default:
+		if err := f.server.identify(x); err != nil {
+			return err
+		}
 	}
+	return next(x)
+}
+
+// identify sets the workspace of the caller's key.
+func (s *Server) identify(x *Exchange) *rhubarbgate.Error {
 	h := x.HTTP.Request.Header.Peek("Authorization")
+	if x.Route.Open && len(h) == 0 {
+		return nil
+	}
+	if s.configStale() {
+		return notRun(rhubarbgate.CodeStale, "this entry last confirmed its configuration %v ago", s.configAge()).WithRetryAfter(s.retryAfterControl())
+	}
 	if len(h) <= len(bearer) || !bytes.EqualFold(h[:len(bearer)], bearer) {
 		return notRun(rhubarbgate.CodeUnauthorized, "the header Authorization lacks a bearer key")
 	}
-	x.KeyDigest = config.KeyDigest(string(bytes.TrimSpace(h[len(bearer):])))
-	k, ok := x.Config.Keys[x.KeyDigest]
+	digest := config.KeyDigest(string(bytes.TrimSpace(h[len(bearer):])))
+	k, ok := x.Config.Keys[digest]
 	if !ok {
 		return notRun(rhubarbgate.CodeUnauthorized, "the key is unknown or withdrawn")
 	}
-	x.Workspace = k.Workspace
-	return next(x)
+	x.KeyDigest, x.Workspace = digest, k.Workspace
+	return nil
 }
 
 // confirmKey checks in the current configuration that the key is still valid. It is used
--- a/internal/http/ingress/jobs.go
+++ b/internal/http/ingress/jobs.go
@@ -58,13 +58,67 @@
 	ctx, cancel := s.storeContext(x)
 	defer cancel()
 	if _, err := s.Stores.Jobs(ctx, group, jobs.Command{Submit: job}); err != nil {
-		return unknownOutcome(err)
+		if rhubarbgate.AsError(err).Code != rhubarbgate.CodeConflict {
+			return unknownOutcome(err)
+		}
+		// The job may be one of no workspace, which was accepted while its route was open.
+		if _, findErr := s.findJob(ctx, x, group, job.ID); findErr != nil {
+			return unknownOutcome(err)
+		}
 	}
+	s.accepted(x, group, len(items))
+	return nil
+}
+
+// accepted responds that a batch job was accepted, now or before.
+func (s *Server) accepted(x *Exchange, group uint32, items int) {
 	f := x.fields(s.Clock.Now())
-	f["group"], f["items"] = group, len(items)
+	f["group"], f["items"] = group, items
 	s.Logger.WithFields(f).Info("batch job accepted")
 	x.HTTP.SetStatusCode(fasthttp.StatusAccepted)
-	return nil
+}
+
+// repeatsSubmission responds to a request without a route that submits a batch job again which was accepted
+// while there was one. It reports false for any other request.
+func (s *Server) repeatsSubmission(x *Exchange) (bool, error) {
+	if !x.HTTP.IsPost() || x.Call.RequestID == "" {
+		return false, nil
+	}
+	if len(x.Config.Workspaces) > 0 && len(x.HTTP.Request.Header.Peek("Authorization")) > 0 {
+		if err := s.identify(x); err != nil && err.Code == rhubarbgate.CodeUnauthorized {
+			return false, nil
+		} else if err != nil {
+			return false, err
+		}
+	}
+	items, err := s.Dialect.DecodeJob(x.HTTP.Request.Body())
+	if err != nil {
+		return false, nil
+	}
+	group, err := s.jobGroup(x.Call.RequestID)
+	if err != nil {
+		return false, err
+	}
+	x.Deadline = x.Arrived.Add(jobTimeout)
+	ctx, cancel := s.storeContext(x)
+	defer cancel()
+	if _, err := s.findJob(ctx, x, group, x.Call.RequestID); err != nil {
+		if rhubarbgate.AsError(err).Code == rhubarbgate.CodeNotFound {
+			err = nil
+		}
+		return false, err
+	}
+	s.accepted(x, group, len(items))
+	return true, nil
+}
+
+// findJob returns the description of a job that the caller may see.
+func (s *Server) findJob(ctx context.Context, x *Exchange, group uint32, id string) (*jobs.Job, error) {
+	r, err := s.Stores.Query(ctx, &control.Query{Group: group, Workspace: x.jobOwner(), Job: &id})
+	if err != nil {
+		return nil, err
+	}
+	return r.Job, nil
 }
 
 // storeContext returns a context for calls to the store hosts. It ends responseMargin
@@ -85,8 +139,17 @@
 	return &e
 }
 
-// serveJobCall serves a call that reads or cancels a batch job.
+// serveJobCall serves a call that reads or cancels a batch job. A caller without a key that may need one is not
+// told that there is no such job.
 func (s *Server) serveJobCall(x *Exchange) error {
+	err := s.readOrCancelJob(x)
+	if err != nil && x.jobOwner() == jobs.NoWorkspace && rhubarbgate.AsError(err).Code == rhubarbgate.CodeNotFound {
+		return notRun(rhubarbgate.CodeUnauthorized, "the header Authorization lacks a bearer key")
+	}
+	return err
+}
+
+func (s *Server) readOrCancelJob(x *Exchange) error {
 	group, err := s.jobGroup(x.Call.Job)
 	if err != nil {
 		return err
@@ -99,18 +162,32 @@
 	case rhubarbgate.ReadItem:
 		return s.serveItem(ctx, x, group)
 	default:
-		_, err := s.Stores.Jobs(ctx, group, jobs.Command{CancelJob: &jobs.CancelJob{Job: x.Call.Job, Workspace: x.Workspace}})
-		if err != nil {
-			return unknownOutcome(err)
+		return s.cancelJob(ctx, x, group)
+	}
+}
+
+// cancelJob cancels a job.
+func (s *Server) cancelJob(ctx context.Context, x *Exchange, group uint32) error {
+	owner := x.jobOwner()
+	_, err := s.Stores.Jobs(ctx, group, jobs.Command{CancelJob: &jobs.CancelJob{Job: x.Call.Job, Workspace: owner}})
+	if err != nil && owner != "" && rhubarbgate.AsError(err).Code == rhubarbgate.CodeNotFound {
+		// A job of no workspace is not found under that of the caller.
+		j, findErr := s.findJob(ctx, x, group, x.Call.Job)
+		if findErr != nil {
+			return findErr
 		}
-		return nil
+		_, err = s.Stores.Jobs(ctx, group, jobs.Command{CancelJob: &jobs.CancelJob{Job: x.Call.Job, Workspace: j.Workspace}})
 	}
+	if err != nil {
+		return unknownOutcome(err)
+	}
+	return nil
 }
 
 // serveResults responds with a page of the job's results.
 func (s *Server) serveResults(ctx context.Context, x *Exchange, group uint32) error {
 	r, err := s.Stores.Query(ctx, &control.Query{
-		Group: group, Workspace: x.Workspace, Results: &control.PageQuery{ID: x.Call.Job, Index: x.Call.After, MaxBytes: maxPageBytes},
+		Group: group, Workspace: x.jobOwner(), Results: &control.PageQuery{ID: x.Call.Job, Index: x.Call.After, MaxBytes: maxPageBytes},
 	})
 	if err != nil {
 		return err
@@ -126,7 +203,7 @@
 
 // serveItem responds with the body of one item as it was submitted.
 func (s *Server) serveItem(ctx context.Context, x *Exchange, group uint32) error {
-	r, err := s.Stores.Query(ctx, &control.Query{Group: group, Workspace: x.Workspace, Item: &control.ItemQuery{Job: x.Call.Job, Item: x.Call.Item}})
+	r, err := s.Stores.Query(ctx, &control.Query{Group: group, Workspace: x.jobOwner(), Item: &control.ItemQuery{Job: x.Call.Job, Item: x.Call.Item}})
 	if err != nil {
 		return err
 	}
--- a/internal/state/jobs/query.go
+++ b/internal/state/jobs/query.go
@@ -21,11 +21,24 @@
 	return f.result().File, nil
 }
 
+// NoWorkspace stands for a caller without a workspace in queries, where an empty workspace matches any.
+const NoWorkspace = "\x00"
+
+// visibleJob returns the job if callers of the workspace may see it, else an error. A job that was
+// submitted without a workspace belongs to all who know its ID. Commands do not use this, so that replicas of
+// all versions apply them alike.
+func (m *Machine) visibleJob(id, workspace string) (*job, *Result) {
+	if j := m.jobs[id]; j != nil && j.Workspace == "" && j.Attempts > 0 {
+		return j, nil
+	}
+	return m.findJob(id, workspace)
+}
+
 // JobInfo returns the description of a job; an empty workspace matches any.
 func (m *Machine) JobInfo(id, workspace string) (*Job, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	j, r := m.findJob(id, workspace)
+	j, r := m.visibleJob(id, workspace)
 	if r != nil {
 		return nil, r.Err
 	}
--- a/internal/state/jobs/submit.go
+++ b/internal/state/jobs/submit.go
@@ -79,7 +79,7 @@
 func (m *Machine) Results(id, workspace string, after, maxBytes int) (*rhubarbgate.ResultPage, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	j, r := m.findJob(id, workspace)
+	j, r := m.visibleJob(id, workspace)
 	if r != nil {
 		return nil, r.Err
 	}
@@ -117,7 +117,7 @@
 func (m *Machine) itemLine(id, workspace, item string) (disk.Ref, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	j, r := m.findJob(id, workspace)
+	j, r := m.visibleJob(id, workspace)
 	if r != nil {
 		return disk.Ref{}, r.Err
 	}
--- a/internal/state/jobs/submit_test.go
+++ b/internal/state/jobs/submit_test.go
@@ -186,3 +186,39 @@
 	}
 	qt.Assert(t, leaseAll(), qt.DeepEquals, []int{3, 4, 1, 0, 2})
 }
+
+// TestWhoSeesAJob guards against jobs that are not found by the callers who submitted them without a workspace, and against
+// jobs of a workspace that others can read.
+func TestWhoSeesAJob(t *testing.T) {
+	m := New(&disk.Spill{Dir: t.TempDir()})
+	items := []ItemInput{{ID: "item", Needs: "r", Idempotent: true, Line: []byte("x")}}
+	for _, workspace := range []string{"w", ""} {
+		r := m.Apply(&Command{At: time.Unix(1, 0), Submit: &Submit{ID: "of-" + workspace, Workspace: workspace, Attempts: 1, Items: items}})
+		qt.Assert(t, r.Err == nil, qt.IsTrue)
+	}
+	tests := []struct {
+		job, workspace string
+		found          bool
+	}{
+		{"of-w", "w", true},
+		{"of-w", "other", false},
+		{"of-w", NoWorkspace, false},
+		{"of-w", "", true},
+		{"of-", "w", true},
+		{"of-", "other", true},
+		{"of-", NoWorkspace, true},
+		{"of-", "", true},
+		{"none", "", false},
+	}
+	for _, test := range tests {
+		_, err := m.JobInfo(test.job, test.workspace)
+		qt.Check(t, err == nil, qt.Equals, test.found, qt.Commentf("%+v", test))
+		_, err = m.Results(test.job, test.workspace, 0, 1)
+		qt.Check(t, err == nil, qt.Equals, test.found, qt.Commentf("%+v", test))
+		_, err = m.Item(test.job, test.workspace, "item")
+		qt.Check(t, err == nil, qt.Equals, test.found, qt.Commentf("%+v", test))
+	}
+	// Commands are applied as by earlier versions, which may replicate the same group.
+	r := m.Apply(&Command{At: time.Unix(2, 0), CancelJob: &CancelJob{Job: "of-", Workspace: "w"}})
+	qt.Assert(t, r.Err != nil && r.Err.Code == rhubarbgate.CodeNotFound, qt.IsTrue)
+}
