--- a/internal/controller/batch/dispatcher.go
+++ b/internal/controller/batch/dispatcher.go
@@ -2,7 +2,9 @@
 package batch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,6 +13,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
 
@@ -32,6 +35,10 @@
 	Weight func(workspace string) float64
 	// ItemRate returns the workspace's limit of items leased per second, if it has one.
 	ItemRate func(workspace string) (limit.Rate, bool)
+	// Config, if set, returns the configuration in force, which has the routes of submitted jobs, and
+	// Rerouted is called for each job that it gives another route, or none.
+	Config   func() *config.Config
+	Rerouted func(jobs.Rerouted)
 
 	mu             sync.Mutex
 	incarnations   map[string]string // by name of the side
@@ -40,6 +47,9 @@
 	completionRate float64 // items per second, moving average
 	completed      float64 // items since rateUpdatedAt
 	rateUpdatedAt  time.Time
+	begunAt        time.Time
+	askedAt        map[string]time.Time // when a side last asked for items with a need
+	unasked        map[string]bool      // jobs that TakeUnasked has returned
 }
 
 // Begin resets the dispatcher when its replica becomes leader of the group.
@@ -50,7 +60,8 @@
 	d.deadlines = map[jobs.ItemRef]time.Time{}
 	d.incarnations = map[string]string{}
 	d.itemLimits = &limit.Static{Clock: d.Clock, Rates: d.ItemRate, Entries: 1, Empty: true}
-	d.rateUpdatedAt = now
+	d.rateUpdatedAt, d.begunAt = now, now
+	d.askedAt, d.unasked = map[string]time.Time{}, map[string]bool{}
 	d.Machine.BeginLeasing()
 	d.Machine.LeasedItems(func(r jobs.ItemRef) { d.deadlines[r] = now.Add(LeaseTTL) })
 }
@@ -60,11 +71,13 @@
 func (d *Dispatcher) Pick(needs []string, n int) []jobs.ItemRef {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.Reroute()
+	now := d.Clock.Now()
 	needed := make(map[string]bool, len(needs))
 	for _, need := range needs {
 		needed[need] = true
+		d.askedAt[need] = now
 	}
-	now := d.Clock.Now()
 	d.Machine.Advance(now)
 	pending := d.Machine.PendingJobs(needed, d.Weight)
 	for i := range pending {
@@ -85,6 +98,51 @@
 	return refs
 }
 
+// Reroute looks up the routes of submitted jobs in the configuration in force, if that is new to them.
+func (d *Dispatcher) Reroute() {
+	if d.Config == nil {
+		return
+	}
+	c := d.Config()
+	changed := d.Machine.Reroute(d.Clock.Now(), c.Version, func(name string, o jobs.Origin) string {
+		r, _ := c.BatchRoute(name, o.Host, o.Path)
+		return r.Name
+	})
+	for _, r := range changed {
+		d.Rerouted(r)
+	}
+}
+
+// TakeUnasked returns the running jobs with pending items that no side has asked for in the given time, each
+// once. Busy sides ask for none either, so the time has to be far above that of an item.
+func (d *Dispatcher) TakeUnasked(wait time.Duration) []jobs.PendingNeed {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.Clock.Now().Add(-wait)
+	pending := d.Machine.PendingNeeds()
+	isUnasked := func(p jobs.PendingNeed) bool {
+		return d.begunAt.Before(before) && p.Created.Before(before) && !d.askedAt[p.Need].After(before)
+	}
+	maps.DeleteFunc(d.unasked, func(job string, _ bool) bool {
+		return !slices.ContainsFunc(pending, func(p jobs.PendingNeed) bool { return p.Job == job && isUnasked(p) })
+	})
+	var found []jobs.PendingNeed
+	for _, p := range pending {
+		if isUnasked(p) && !d.unasked[p.Job] {
+			d.unasked[p.Job] = true
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+// UnaskedCount returns the number of jobs that TakeUnasked found last.
+func (d *Dispatcher) UnaskedCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.unasked)
+}
+
 // next removes the next item of a job from the queue if the workspace's item rate allows.
 func (d *Dispatcher) next(job rhubarbgate.PendingJob, needs map[string]bool) (jobs.ItemRef, bool) {
 	if _, limited := d.ItemRate(job.Workspace); limited {
--- a/internal/controller/batch/dispatcher_test.go
+++ b/internal/controller/batch/dispatcher_test.go
@@ -59,3 +59,29 @@
 	qt.Assert(t, lease(d, m, "one", "2", 6), qt.Equals, 0)
 	qt.Assert(t, d.RegisterSide("one", "2"), qt.HasLen, 0)
 }
+
+// TestUnaskedJobsAreFound guards against items that wait for a side that never asks for them, with no word of it.
+func TestUnaskedJobsAreFound(t *testing.T) {
+	const wait = 30 * time.Second
+	d, m, clock := newDispatcher(t, 2)
+	found := func() int {
+		n := len(d.TakeUnasked(wait))
+		qt.Assert(t, n == 0 || d.UnaskedCount() == n, qt.IsTrue)
+		return n
+	}
+	clock.Advance(wait)
+	qt.Assert(t, found(), qt.Equals, 0)
+	clock.Advance(time.Second)
+	qt.Assert(t, found(), qt.Equals, 1)
+	qt.Assert(t, found(), qt.Equals, 0) // once
+	qt.Assert(t, d.UnaskedCount(), qt.Equals, 1)
+	qt.Assert(t, lease(d, m, "side", "1", 1), qt.Equals, 1)
+	qt.Assert(t, found(), qt.Equals, 0)
+	qt.Assert(t, d.UnaskedCount(), qt.Equals, 0)
+	clock.Advance(wait)
+	d.Pick([]string{"other"}, 1)
+	qt.Assert(t, found(), qt.Equals, 1)
+	d.Pick([]string{"r"}, 0)
+	qt.Assert(t, found(), qt.Equals, 0)
+	qt.Assert(t, d.UnaskedCount(), qt.Equals, 0)
+}
--- a/internal/http/ingress/jobs.go
+++ b/internal/http/ingress/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,8 +42,10 @@
 	if x.Call.RequestID == "" {
 		return notRun(rhubarbgate.CodeInvalid, "the batch job has no ID")
 	}
+	path, _, _ := strings.Cut(string(x.HTTP.RequestURI()), "?")
 	job := &jobs.Submit{
 		ID: x.Call.RequestID, Workspace: x.Workspace, Window: x.Route.Window, Retention: x.Route.Retention, Attempts: x.Route.Attempts,
+		Origin: jobs.Origin{Host: string(x.HTTP.Host()), Path: path, Version: x.Config.Version},
 	}
 	for i := range items {
 		line, err := wire.Marshal(&items[i])
--- a/internal/role/entry/job_test.go
+++ b/internal/role/entry/job_test.go
@@ -140,27 +140,30 @@
 	return ids
 }
 
-// changedRoutes are changes of the route of a batch job after it was accepted.
-var changedRoutes = []struct {
+// changedRoute is a change of the route of a batch job after it was accepted.
+type changedRoute struct {
 	name   string
 	change func(d document)
+	// then, if set, is the change of a later version.
+	then func(d document)
 	// runs says that items run on; otherwise they are given up.
 	runs bool
-	// repeated is the status of the same submission at its old path.
-	repeated int
-}{
-	{"route removed", func(d document) { removeRoute(d, "batch") }, false, http.StatusAccepted},
-	{"route renamed", func(d document) { routeOf(d, "batch")["name"] = "renamed" }, true, http.StatusAccepted},
-	{"route at another prefix", func(d document) { routeOf(d, "batch")["path_prefix"] = "/moved/" }, true, http.StatusAccepted},
-	{"route at another host", func(d document) { routeOf(d, "batch")["host"] = "other.example" }, true, http.StatusAccepted},
-	{"all routes of the host removed", func(d document) { d["routes"] = []any{} }, false, http.StatusAccepted},
-	{"route made anonymous", func(d document) { routeOf(d, "batch")["anonymous"] = true }, true, http.StatusAccepted},
+}
+
+// changedRoutes are changes that each daemon has to cope with.
+var changedRoutes = []changedRoute{
+	{"route removed", func(d document) { removeRoute(d, "batch") }, nil, false},
+	{"route renamed", func(d document) { routeOf(d, "batch")["name"] = "renamed" }, nil, true},
+	{"route at another prefix", func(d document) { routeOf(d, "batch")["path_prefix"] = "/moved/" }, nil, true},
+	{"route at another host", func(d document) { routeOf(d, "batch")["host"] = "other.example" }, nil, true},
+	{"all routes of the host removed", func(d document) { d["routes"] = []any{} }, nil, false},
+	{"route made anonymous", func(d document) { routeOf(d, "batch")["anonymous"] = true }, nil, true},
 	{"time-outs and retention changed", func(d document) {
 		routeOf(d, "batch")["timeout_ms"], routeOf(d, "batch")["run_target_ms"], routeOf(d, "batch")["retention_s"] = 7000, 9000, 300
-	}, true, http.StatusAccepted},
+	}, nil, true},
 	{"key replaced by another of the workspace", func(d document) {
 		d["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"other key"}
-	}, true, http.StatusAccepted},
+	}, nil, true},
 }
 
 // TestJobsAreFoundWhateverBecomesOfTheirRoute guards against 404 for batch jobs whose route was removed, renamed, moved or made
@@ -174,14 +177,14 @@
 			qt.Assert(t, f.submit(0, "job", callerKey, items).Status, qt.Equals, http.StatusAccepted)
 			before := f.awaitResults("job", callerKey, len(items), 20*time.Second)
 			f.put(2, test.change)
-			f.expectJob("job", "other key", items, before, test.repeated)
+			f.expectJob("job", "other key", items, before)
 		})
 	}
 }
 
-// expectJob checks at all entries that a job is there with its results and bodies, that a repeated submission gets
-// the given status, and that the job can be ended.
-func (f *fleet) expectJob(id, key string, items []string, results []platformtest.Result, repeated int) {
+// expectJob checks at all entries that a job is there with its results and bodies, that a repeated submission is
+// accepted, and that the job can be ended.
+func (f *fleet) expectJob(id, key string, items []string, results []platformtest.Result) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	for i := range f.entries {
@@ -190,7 +193,7 @@
 		qt.Check(f.t, p.Results, qt.DeepEquals, results)
 		r = f.client.Item(ctx, f.entries[i], id, items[0], key)
 		qt.Check(f.t, []any{r.Status, r.Body}, qt.DeepEquals, []any{http.StatusOK, items[0]})
-		qt.Check(f.t, f.submit(i, id, key, items).Status, qt.Equals, repeated)
+		qt.Check(f.t, f.submit(i, id, key, items).Status, qt.Equals, http.StatusAccepted)
 		r = f.client.Cancel(ctx, f.entries[i], id, key)
 		qt.Check(f.t, r.Status, qt.Equals, http.StatusOK, qt.Commentf("end: %s", r.Body))
 	}
@@ -222,9 +225,39 @@
 	_, r = f.results(0, "no such job", callerKey)
 	qt.Check(t, r.Status, qt.Equals, http.StatusNotFound)
 	f.put(3, func(document) {})
-	f.expectJob("job", callerKey, items, results, http.StatusAccepted)
+	f.expectJob("job", callerKey, items, results)
 	// A job of no workspace belongs to all who know its ID.
-	f.expectJob("without", callerKey, without, withoutKey, http.StatusAccepted)
+	f.expectJob("without", callerKey, without, withoutKey)
 	_, r = f.results(0, "without", "")
 	qt.Check(t, r.Status, qt.Equals, http.StatusOK)
 }
+
+// TestItemsWhoseRouteChanges guards against items of batch jobs that are neither run nor given up, because the route that
+// accepted their job was removed, renamed, moved or made anonymous while they waited.
+func TestItemsWhoseRouteChanges(t *testing.T) {
+	const count = 16
+	tests := append(changedRoutes[:len(changedRoutes):len(changedRoutes)], changedRoute{
+		name: "route removed and back under another name", runs: true,
+		change: func(d document) { removeRoute(d, "batch") },
+		then:   func(d document) { routeOf(d, "batch")["name"] = "back" },
+	})
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := startJobFleet(t, 300*time.Millisecond)
+			qt.Assert(t, f.submit(0, "job", callerKey, itemIDs("job", count)).Status, qt.Equals, http.StatusAccepted)
+			f.put(2, test.change)
+			if test.then != nil {
+				f.put(3, test.then)
+			}
+			results := f.awaitResults("job", "other key", count, 30*time.Second)
+			completed := 0
+			for _, r := range results {
+				if r.State == "completed" {
+					completed++
+				}
+			}
+			qt.Assert(t, completed == count, qt.Equals, test.runs, qt.Commentf("%d completed", completed))
+		})
+	}
+}
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -37,6 +37,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
+	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 	"rhubarbgate.example/rhubarbgate/internal/state/shard"
 	"rhubarbgate.example/rhubarbgate/internal/storage/disk"
 )
@@ -165,8 +166,10 @@
 	h.wire.Traffic = h.Traffic
 	h.transport = &peer.Transport{Client: h.wire, Clock: h.Clock, Dropped: new(expvar.Int)}
 	h.Metrics.Set("PeerMessagesDropped", h.transport.Dropped)
-	h.Metrics.Set("LeasesWatched", expvar.Func(func() any { return h.leaseCount() }))
-	h.Metrics.Set("ItemsWaiting", expvar.Func(func() any { return h.waitingCount() }))
+	h.Metrics.Set("LeasesWatched", h.sumLed(func(l *leadership) int { return l.dispatcher.LeaseCount() }))
+	h.Metrics.Set("ItemsWaiting", h.sumLed(func(l *leadership) int { return l.machine.Jobs.Waiting() }))
+	h.Metrics.Set("JobsWithoutRoute", h.sumLed(func(l *leadership) int { return len(l.machine.Jobs.JobsWithoutRoute(h.Clock.Now())) }))
+	h.Metrics.Set("JobsUnasked", h.sumLed(func(l *leadership) int { return l.dispatcher.UnaskedCount() }))
 	if len(h.Seeds) > 0 {
 		h.client = &control.Client{Wire: h.wire, Hosts: h.Seeds, Clock: h.Clock}
 	}
@@ -214,7 +217,7 @@
 		Clock: h.Clock, Machine: m.Jobs,
 		Order:    &order.Deadline{WeightedShare: order.DefaultWeightedShare, Random: rand.New(rand.NewPCG(h.Random.Uint64(), uint64(id)))},
 		Weight:   func(w string) float64 { return h.Current().Weight(w) },
-		ItemRate: h.itemRate,
+		ItemRate: h.itemRate, Config: h.Current, Rerouted: h.logRerouted,
 	}
 	h.jobGroups = append(h.jobGroups, l)
 	return nil
@@ -411,28 +414,27 @@
 	}
 }
 
-// leaseCount returns the number of item leases whose expiry this host tracks as
-// leader.
-func (h *Host) leaseCount() int {
-	n := 0
-	for _, l := range h.jobGroups {
-		if l.leads() {
-			n += l.dispatcher.LeaseCount()
+// sumLed returns a metric that sums a figure over the job groups that this host leads.
+func (h *Host) sumLed(figure func(l *leadership) int) expvar.Func {
+	return func() any {
+		n := 0
+		for _, l := range h.jobGroups {
+			if l.leads() {
+				n += figure(l)
+			}
 		}
+		return n
 	}
-	return n
 }
 
-// waitingCount returns the number of items that wait, in the groups that this host leads, because
-// targets ended with them.
-func (h *Host) waitingCount() int {
-	n := 0
-	for _, l := range h.jobGroups {
-		if l.leads() {
-			n += l.machine.Jobs.Waiting()
-		}
+// logRerouted logs that a job has another route, or none.
+func (h *Host) logRerouted(r jobs.Rerouted) {
+	f := log.Fields{"job": r.Job, "acceptedBy": r.Accepted, "route": r.Route, "host": r.Origin.Host, "path": r.Origin.Path, "version": h.Current().Version}
+	if r.Route == "" {
+		h.Logger.WithFields(f).Warn("batch job has no route any more")
+		return
 	}
-	return n
+	h.Logger.WithFields(f).Info("batch job goes on under another route")
 }
 
 func (h *Host) retention() time.Duration {
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -260,7 +260,7 @@
 	return &control.LeaseReply{Granted: granted, TTL: batch.LeaseTTL}, nil
 }
 
-// withLines adds the input lines of the items to the grants.
+// withLines adds the input lines of the items to the grants, and the routes in force.
 func (l *leadership) withLines(grants []jobs.Grant) ([]jobs.Grant, error) {
 	for i := range grants {
 		line, err := l.machine.Jobs.Line(grants[i].Ref)
@@ -268,6 +268,7 @@
 			return nil, errors.Trace(err)
 		}
 		grants[i].Line = line
+		l.machine.Jobs.AddRouting(&grants[i])
 	}
 	return grants, nil
 }
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -91,11 +91,15 @@
 	h := w.host
 	i, ok := h.Targets.Find(h.Target)
 	if !ok || i.Leaving || h.Targets.Replaced(i) {
-		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target at %v is not listed", h.Target)
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the target at %v is not listed, or leaving", h.Target)
 	}
-	route, ok := h.configuration().Routes[t.grant.Needs]
+	route, ok := h.configuration().BatchRoute(t.grant.Needs, t.grant.Origin.Host, t.grant.Origin.Path)
 	if !ok {
-		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "no route %q", t.grant.Needs)
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "no route %q, nor another one for the job", t.grant.Needs)
+	}
+	if !splitIncludes(route.Split, i.Service) {
+		// The route may have changed since the item was leased.
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "the route %q does not lead to service %q", route.Name, i.Service)
 	}
 	var item rhubarbgate.JobItem
 	if err := wire.Unmarshal(t.grant.Line, &item); err != nil {
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -47,7 +47,9 @@
 	}
 	h.setUp()
 	h.Targets.Refresh(context.Background())
-	s := rhubarbgate.Section{Routes: []rhubarbgate.Route{{Name: "r", Kind: rhubarbgate.BatchJob, Path: rhubarbgate.Path{Host: "h", Prefix: "/b/"}}}}
+	s := rhubarbgate.Section{Routes: []rhubarbgate.Route{{
+		Name: "r", Kind: rhubarbgate.BatchJob, Path: rhubarbgate.Path{Host: "h", Prefix: "/b/"}, Split: []rhubarbgate.Share{{Service: "lm", Weight: 1}},
+	}}}
 	c := config.FromSection(1, nil, s)
 	h.watcher = &configuration.Watcher{Clock: clock, Logger: logger}
 	h.watcher.ApplyReply(&control.PollReply{Version: 1, Sum: c.Sum, Section: &s}, clock.Now())
@@ -264,3 +266,42 @@
 		})
 	}
 }
+
+// TestItemsObeyTheRouteInForce guards against items that run at a service to which their route no longer leads, or
+// that are not run because their route has another name.
+func TestItemsObeyTheRouteInForce(t *testing.T) {
+	route := func(name, service string) rhubarbgate.Route {
+		return rhubarbgate.Route{
+			Name: name, Kind: rhubarbgate.BatchJob, Path: rhubarbgate.Path{Host: "h", Prefix: "/b/"}, Split: []rhubarbgate.Share{{Service: service, Weight: 1}},
+		}
+	}
+	tests := []struct {
+		name  string
+		route rhubarbgate.Route
+		runs  int
+	}{
+		{"unchanged", route("r", "lm"), 1},
+		{"renamed", route("s", "lm"), 1},
+		{"to another service", route("r", "other"), 0},
+		{"at another place under another name", func() rhubarbgate.Route {
+			r := route("s", "lm")
+			r.Path.Prefix = "/c/"
+			return r
+		}(), 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := &platformtest.Target{}
+			w, task := newBatchOnlyWorker(t, x, clockwork.NewRealClock())
+			s := rhubarbgate.Section{Routes: []rhubarbgate.Route{test.route}}
+			w.host.watcher.ApplyReply(&control.PollReply{Version: 2, Sum: config.FromSection(2, nil, s).Sum, Section: &s}, w.clock.Now())
+			task.grant.Origin = jobs.Origin{Host: "h", Path: "/b/job", Version: 1}
+			err := w.streamItem(context.Background(), task)
+			qt.Assert(t, err == nil, qt.Equals, test.runs > 0)
+			qt.Assert(t, x.Runs(), qt.HasLen, test.runs)
+			if err != nil {
+				qt.Assert(t, err.Verdict, qt.Equals, rhubarbgate.NotRun)
+			}
+		})
+	}
+}
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -94,6 +94,32 @@
 // first.
 func (c *Config) RoutesOfHost(host string) []rhubarbgate.Route { return c.routesByHost[host] }
 
+// BatchRoute returns the route in force of a batch job that was submitted at a host and path to the route
+// with this name. It is the one that would take the job now; a job also stays with its route if that
+// moved to another path. An empty host means that host and path are not known, but only the path of an item; then
+// the route must be the only one that could take it.
+func (c *Config) BatchRoute(name, host, path string) (rhubarbgate.Route, bool) {
+	if r, ok := c.Route(host, path); ok && r.Kind == rhubarbgate.BatchJob {
+		return r, true
+	}
+	if r, ok := c.Routes[name]; ok && r.Kind == rhubarbgate.BatchJob {
+		return r, true
+	}
+	if host != "" {
+		return rhubarbgate.Route{}, false
+	}
+	var found []rhubarbgate.Route
+	for h := range c.routesByHost {
+		if r, ok := c.Route(h, path); ok && r.Kind == rhubarbgate.BatchJob {
+			found = append(found, r)
+		}
+	}
+	if len(found) != 1 {
+		return rhubarbgate.Route{}, false
+	}
+	return found[0], true
+}
+
 // indexRoutes rebuilds routesByHost from Routes.
 func (c *Config) indexRoutes() {
 	c.routesByHost = map[string][]rhubarbgate.Route{}
--- a/internal/state/jobs/command.go
+++ b/internal/state/jobs/command.go
@@ -61,7 +61,7 @@
 	ID string `msgpack:",omitempty"`
 	// Needs is what a target must serve to run the item: a model or, with the
 	// prefix "/services/", a route. In jobs created by Submit it is the route
-	// without the prefix.
+	// without the prefix, as it was called when the job was accepted.
 	Needs string
 	// Idempotent items may run more than once.
 	Idempotent bool
@@ -172,7 +172,16 @@
 	// Attempts is the number of failure responses from targets, 255 at most, after which an item
 	// fails.
 	Attempts int
-	Items    []ItemInput
+	// Origin is where the job was submitted; an earlier build leaves it out.
+	Origin Origin `msgpack:",omitempty"`
+	Items  []ItemInput
+}
+
+// Origin is where a job was submitted. It selects the job's route in later configurations.
+type Origin struct {
+	Host, Path string
+	// Version is that of the configuration by which the job was accepted.
+	Version uint64
 }
 
 // GiveUp fails all items of a job that are not terminal.
@@ -240,6 +249,9 @@
 	Progress []byte `msgpack:",omitempty"`
 	// TargetEnds is how many targets have ended with the item since one last answered it.
 	TargetEnds int `msgpack:",omitempty"`
+	// Origin is that of the job. The leader adds it, and replaces Needs by the name of the job's route
+	// in force.
+	Origin Origin `msgpack:",omitempty"`
 }
 
 // File is the description of an uploaded file.
@@ -279,4 +291,5 @@
 	// Retain is the time until which the items of a job created by Submit are
 	// attempted.
 	Retain time.Time `msgpack:",omitempty"`
+	Origin Origin    `msgpack:",omitempty"`
 }
--- a/internal/state/jobs/machine.go
+++ b/internal/state/jobs/machine.go
@@ -86,6 +86,7 @@
 	// them, and triedAt is when an item was last chosen. They exist only on the leader.
 	waiting map[uint16][]int32
 	triedAt time.Time
+	routing routing
 }
 
 // item is the state of one input line.
--- a/internal/state/jobs/query.go
+++ b/internal/state/jobs/query.go
@@ -170,7 +170,7 @@
 	for _, j := range m.jobs {
 		count := 0
 		for need, pending := range j.pending {
-			if needs[j.inputFile.needs[need]] {
+			if j.isNeeded(need, needs) {
 				count += pending - len(j.waiting[need])
 				if m.findTrial(j, need) >= 0 {
 					count++
@@ -204,7 +204,7 @@
 	}
 	for need := range j.inputFile.needs {
 		key := uint16(need)
-		if !needs[j.inputFile.needs[need]] {
+		if !j.isNeeded(key, needs) {
 			continue
 		}
 		// A job on trial leases one item at a time, first those at which no two targets ended.
@@ -273,6 +273,7 @@
 	defer m.mu.Unlock()
 	m.leasing = true
 	for _, j := range m.jobs {
+		j.routing = routing{}
 		if j.State == Running {
 			j.buildQueues()
 		}
--- a/internal/state/jobs/submit.go
+++ b/internal/state/jobs/submit.go
@@ -37,7 +37,7 @@
 	}
 	r := m.createJob(at, &CreateJob{ID: c.ID, Workspace: c.Workspace, File: id, Window: c.Window})
 	if j := m.jobs[c.ID]; j != nil {
-		j.Attempts, j.Retain = max(c.Attempts, 1), at.Add(c.Retention)
+		j.Attempts, j.Retain, j.Origin = max(c.Attempts, 1), at.Add(c.Retention), c.Origin
 		return m.jobResult(c.ID)
 	}
 	return r
