--- a/internal/http/caller/relay.go
+++ b/internal/http/caller/relay.go
@@ -21,6 +21,8 @@
 	// stallTimeout is how long the queue may stay full because the caller reads
 	// nothing. After it the request is cancelled, so that it frees its slot.
 	stallTimeout = 15 * time.Second
+	// maxGaps bounds the gaps between tokens that are kept of one response, which may have no end.
+	maxGaps = 1 << 14
 )
 
 // eventDataField begins the data line of a server-sent event. Each event counts as one
@@ -83,7 +85,7 @@
 		r.firstDataLatency = now.Sub(r.startedAt)
 	} else if r.exchange.Stream {
 		n := max(1, bytes.Count(f.Data, eventDataField))
-		for range n {
+		for range min(n, maxGaps-len(r.gaps)) {
 			r.gaps = append(r.gaps, now.Sub(r.lastDataAt)/time.Duration(n))
 		}
 	}
--- a/internal/http/operator/client.go
+++ b/internal/http/operator/client.go
@@ -21,6 +21,9 @@
 // requestTimeout bounds one request of the client.
 const requestTimeout = 30 * time.Second
 
+// maxResponseBytes bounds the body of a response.
+const maxResponseBytes = 64 << 20
+
 // Client calls the operators' HTTP API of a control host.
 type Client struct {
 	// Base is the URL of the control host, such as http://127.0.0.1:8081.
@@ -67,7 +70,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	h := fasthttp.Client{TLSConfig: t, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	h := fasthttp.Client{TLSConfig: t, MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	if err := h.DoTimeout(q, r, requestTimeout); err != nil {
 		return errors.Annotatef(err, "%s %s", method, path)
 	}
--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -248,14 +248,21 @@
 		return nil, rhubarbgate.AsError(err)
 	}
 	defer a.Close()
+	return readItemResponse(ctx, a)
+}
+
+// readItemResponse reads the body of the response to an item, which may have no end. A failure of the target is one
+// whatever the size of its body.
+func readItemResponse(ctx context.Context, a *target.Response) (*itemResponse, *rhubarbgate.Error) {
 	b, err := io.ReadAll(io.LimitReader(a, maxItemResponseBytes+1))
 	if err != nil {
 		return nil, responseError(ctx, err)
 	}
-	if len(b) > maxItemResponseBytes {
+	r, e := checkStatus(a.Status, b)
+	if e == nil && len(b) > maxItemResponseBytes {
 		return nil, rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.Ran, "the answer is larger than %d bytes", maxItemResponseBytes)
 	}
-	return checkStatus(a.Status, b)
+	return r, e
 }
 
 func jsonHeaders() []target.Header {
--- a/internal/role/side/resume.go
+++ b/internal/role/side/resume.go
@@ -113,11 +113,7 @@
 	}
 	defer a.Close()
 	if a.Status != http.StatusOK {
-		var b bytes.Buffer
-		if _, err := b.ReadFrom(a); err != nil {
-			return nil, responseError(ctx, err)
-		}
-		r, err := checkStatus(a.Status, b.Bytes())
+		r, err := readItemResponse(ctx, a)
 		if err == nil && t.partial.text != "" {
 			// The target refused the continuation, which is no response to the item. It starts over.
 			t.partial.text, t.partial.tokens = "", 0
@@ -198,6 +194,11 @@
 			text = x.Delta.Content
 		}
 		if text != "" {
+			if len(c.partial.text)+len(text) > maxItemResponseBytes {
+				// Output that long is not the item's, so no other attempt may continue it.
+				c.partial.text, c.partial.tokens = "", 0
+				return errors.Errorf("the output has more than %d bytes", maxItemResponseBytes)
+			}
 			c.partial.text += text
 			c.partial.tokens++
 		}
