entry: requests that may not end before a stop are refused, not cut

From the operators' reports: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end, also those that may not be repeated.

With 2.5 s and 6.5 s a request that came after 2.4 s and took 4.2 s of its 5 s was cut.

Fix: a draining entry knows when it stops. A request whose time is not over by then is refused at once, truly not run, and its caller goes to another entry; a submission of a batch job is answered by then.

TestDrainTakesNoRequestsAfterBalancerLag also checks the time that the server is told.

--- a/internal/http/caller/route.go
+++ b/internal/http/caller/route.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if stopAt := f.server.stopAt.Load(); stopAt != nil && x.Deadline.After(*stopAt) {
+		return notRun(rhubarbgate.CodeUnavailable, "this entry stops before the time that the request may take is over")
+	}
 	f.headers(x)
 	if err := refuseSecret(x); err != nil {
 		return err
--- a/internal/http/caller/server.go
+++ b/internal/http/caller/server.go
@@ -59,7 +59,7 @@
 	app        *fiber.App
 	idSequence atomic.Uint64
 	inFlight   atomic.Int64
-	draining   atomic.Bool
+	stopAt     atomic.Pointer[time.Time] // set while draining
 }
 
 // Observation is the outcome of one attempt at a model, for the service-level report.
@@ -130,8 +130,11 @@
 func (s *Server) Serve(l net.Listener) error { return errors.Trace(s.app.Listener(l)) }
 
 // StartDraining makes the health check fail, so that the load balancer stops sending callers to
-// this entry. Requests that still arrive are served, each as the last one of its connection.
-func (s *Server) StartDraining() { s.draining.Store(true) }
+// this entry. Requests that still arrive are served, each as the last one of its connection, or refused
+// if they may not end before stopAt, when the entry cuts what is left.
+func (s *Server) StartDraining(stopAt time.Time) { s.stopAt.Store(&stopAt) }
+
+func (s *Server) draining() bool { return s.stopAt.Load() != nil }
 
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
@@ -144,7 +147,7 @@
 
 // health responds to the load balancer's health check.
 func (s *Server) health(c *fiber.Ctx) error {
-	if s.draining.Load() {
+	if s.draining() {
 		return c.Status(fiber.StatusServiceUnavailable).SendString("leaving\n")
 	}
 	if s.stale() {
@@ -169,7 +172,7 @@
 			IdempotencyKey: string(c.Request().Header.Peek("Idempotency-Key")),
 		}
 		c.Set("X-Request-Id", x.RequestID)
-		if s.draining.Load() {
+		if s.draining() {
 			c.Response().SetConnectionClose()
 		}
 		err := h(x)
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -76,9 +76,31 @@
 		return notRun(rhubarbgate.CodeTooLarge, "the body has %d bytes, more than %d", len(x.HTTP.Request.Body()), l.BodyBytes)
 	}
 	x.Deadline = x.Arrived.Add(requestTimeout(r, x.Call.Timeout))
+	if err := f.server.fitBeforeStop(x); err != nil {
+		return err
+	}
 	return next(x)
 }
 
+// fitBeforeStop refuses a request that may not end before a draining entry stops: it would be cut without an answer,
+// and another entry can serve it. The submission of a batch job, which takes little time, is answered by then.
+func (s *Server) fitBeforeStop(x *Exchange) error {
+	stopAt := s.stopAt.Load()
+	if stopAt == nil {
+		return nil
+	}
+	last := stopAt.Add(-stopMargin)
+	if !x.Deadline.After(last) {
+		return nil
+	}
+	if x.Route.Kind == rhubarbgate.BatchJob {
+		x.Deadline = last
+		return nil
+	}
+	now := s.Clock.Now()
+	return notRun(rhubarbgate.CodeUnavailable, "this entry stops in %v, and the request may take %v", last.Sub(now), x.Deadline.Sub(now))
+}
+
 // requestTimeout returns the time for a request of the route whose caller waits that long, 0 if the
 // caller does not say.
 func requestTimeout(r rhubarbgate.Route, callerTimeout time.Duration) time.Duration {
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -499,7 +499,7 @@
 	for len(e.runs("r")) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	e.server.StartDraining()
+	e.server.StartDraining(time.Now().Add(time.Minute))
 	status, _, err := e.send(context.Background(), "safe", "last", secret)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, status, qt.Equals, 200)
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -36,6 +36,8 @@
 	readTimeout = 20 * time.Second
 	// idleTimeout is how long a caller's connection may be unused.
 	idleTimeout = 60 * time.Second
+	// stopMargin is the time that the last response has to be sent before a draining entry stops.
+	stopMargin = 50 * time.Millisecond
 	// defaultStallTimeout is the default of Server.StallTimeout.
 	defaultStallTimeout = 30 * time.Second
 )
@@ -73,8 +75,8 @@
 	readiness *fasthttp.Server
 	handle    Handler
 	inFlight  atomic.Int64
-	draining  atomic.Bool
-	startedAt time.Time // when Prepare was called
+	stopAt    atomic.Pointer[time.Time] // set while draining
+	startedAt time.Time                 // when Prepare was called
 	randomMu  sync.Mutex
 }
 
@@ -130,8 +132,11 @@
 func (s *Server) ServeReadiness(l net.Listener) error { return errors.Trace(s.readiness.Serve(l)) }
 
 // StartDraining makes the readiness check fail, so that the load balancer sends callers to other
-// entries. Requests that still arrive are served, each as the last one of its connection.
-func (s *Server) StartDraining() { s.draining.Store(true) }
+// entries. Requests that still arrive are served, each as the last one of its connection, or refused
+// if they may not end before stopAt, when the entry cuts what is left.
+func (s *Server) StartDraining(stopAt time.Time) { s.stopAt.Store(&stopAt) }
+
+func (s *Server) draining() bool { return s.stopAt.Load() != nil }
 
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
@@ -148,7 +153,7 @@
 // checkReadiness responds with 503 if the entry is leaving, has no configuration or a
 // stale one, or has no list of targets.
 func (s *Server) checkReadiness(c *fasthttp.RequestCtx) {
-	if s.draining.Load() || s.Source.Current().Version == 0 || s.configStale() || !s.Targets.Ready() {
+	if s.draining() || s.Source.Current().Version == 0 || s.configStale() || !s.Targets.Ready() {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
@@ -167,7 +172,7 @@
 	x := &Exchange{HTTP: c, Arrived: s.Clock.Now(), Config: s.Source.Current()}
 	x.Context, x.Cancel = context.WithCancelCause(context.Background())
 	x.stopWatch = s.watchCaller(c.Conn(), x.Cancel)
-	if s.draining.Load() {
+	if s.draining() {
 		c.SetConnectionClose()
 	}
 	defer s.recoverExchange(x)
@@ -222,7 +227,7 @@
 	f["retryAfter"] = e.RetryAfter.String()
 	s.Logger.WithFields(f).Info("refused: " + e.Message)
 	x.HTTP.Response.Reset()
-	if s.draining.Load() {
+	if s.draining() {
 		x.HTTP.SetConnectionClose()
 	}
 	x.HTTP.SetStatusCode(status)
--- a/internal/role/entry/crash_test.go
+++ b/internal/role/entry/crash_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"fmt"
@@ -47,6 +48,8 @@
 	// directory reads the list of targets.
 	directory *platform.Directory
 	running   sync.WaitGroup
+	// balancerLag and grace are those of the entries; grace is 1 s if it is 0.
+	balancerLag, grace time.Duration
 	// sidePort is that of the sides, 0 if there are none.
 	sidePort uint16
 	// stopEntries stops all entries.
@@ -115,7 +118,8 @@
 		d := &entry.Direct{
 			Listener: f.listen(), Readiness: f.listen(), AvailabilityZone: "z", Control: f.seeds, Dialect: platform.Dialect{}, Directory: f.directory,
 			Wire: wire.NewClient(nil), Clock: clockwork.NewRealClock(), Random: rand.New(rand.NewPCG(uint64(i), 2)), Logger: &log.Logger{Handler: discard.New()},
-			Metrics: new(expvar.Map).Init(), MaxAge: 3 * time.Second, Grace: time.Second, SidePort: f.sidePort,
+			Metrics: new(expvar.Map).Init(), MaxAge: 3 * time.Second, SidePort: f.sidePort,
+			BalancerLag: f.balancerLag, Grace: cmp.Or(f.grace, time.Second),
 		}
 		f.entries = append(f.entries, d.Listener.Addr().(*net.TCPAddr).AddrPort())
 		f.running.Go(func() { _ = d.Run(ctx) })
--- a/internal/role/entry/drain.go
+++ b/internal/role/entry/drain.go
@@ -14,9 +14,9 @@
 
 // server is the part of an entry's HTTP server that drain needs.
 type server interface {
-	// StartDraining makes the health check fail and ends each connection with the
-	// response to its next request.
-	StartDraining()
+	// StartDraining makes the health check fail, ends each connection with the
+	// response to its next request, and refuses requests that may not end before stopAt.
+	StartDraining(stopAt time.Time)
 	// Shutdown closes the listeners and idle connections at once, and waits for the
 	// requests in flight until ctx ends.
 	Shutdown(ctx context.Context) error
@@ -24,10 +24,11 @@
 
 // drain makes the health check fail and keeps serving for balancerLag, until the
 // balancer opens no more connections. Then it takes no more requests: it closes the
-// listener and idle connections, and waits for the requests in flight, at most grace.
+// listener and idle connections, and waits for the requests in flight, at most grace. All of
+// them end within it, because those that may not are refused.
 func drain(s server, c clockwork.Clock, l log.Interface, balancerLag, grace time.Duration) {
-	s.StartDraining()
-	l.Info("leaving")
+	s.StartDraining(c.Now().Add(balancerLag + grace))
+	l.WithField("within", (balancerLag + grace).String()).Info("leaving")
 	c.Sleep(balancerLag)
 	ctx, cancel := deadline.WithTimeout(context.Background(), c, grace)
 	defer cancel()
--- a/internal/role/entry/drain_test.go
+++ b/internal/role/entry/drain_test.go
@@ -13,12 +13,11 @@
 
 // fakeServer records when it is shut down. Its request in flight never ends.
 type fakeServer struct {
-	clock              clockwork.Clock
-	draining           bool
-	shutDownAt, doneAt time.Time
+	clock                      clockwork.Clock
+	stopAt, shutDownAt, doneAt time.Time
 }
 
-func (f *fakeServer) StartDraining() { f.draining = true }
+func (f *fakeServer) StartDraining(stopAt time.Time) { f.stopAt = stopAt }
 
 func (f *fakeServer) InFlight() int { return 1 }
 
@@ -47,7 +46,7 @@
 		clock.Advance(d)
 	}
 	<-done
-	qt.Assert(t, s.draining, qt.IsTrue)
+	qt.Assert(t, s.stopAt, qt.Equals, s.doneAt)
 	qt.Assert(t, s.shutDownAt.Sub(start), qt.Equals, balancerLag)
 	qt.Assert(t, s.doneAt.Sub(start), qt.Equals, balancerLag+grace)
 }
