--- a/internal/controller/streams/keeper.go
+++ b/internal/controller/streams/keeper.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sync/singleflight"
 
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
 	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
@@ -26,6 +27,8 @@
 	findTimeout = 250 * time.Millisecond
 	// maxPending bounds the records that wait to be sent.
 	maxPending = 4096
+	// refreshInterval is the time between two readings of the platform's list, which all processes share.
+	refreshInterval = 250 * time.Millisecond
 	// maxNameBytes bounds the names of streams, which contain callers' own IDs.
 	maxNameBytes = 512
 )
@@ -42,7 +45,8 @@
 	Recorded
 	// OnlyVersion streams began while their service had one version, as control hosts know.
 	OnlyVersion
-	// OnlyVersionHere streams did so as this process knows, and no control host replied.
+	// OnlyVersionHere streams did so as this process knows from a list that it read since it was asked,
+	// because too few control hosts replied.
 	OnlyVersionHere
 )
 
@@ -63,6 +67,8 @@
 	Clock clockwork.Clock
 	// History follows the list of targets, as this process knows it.
 	History *versions.History
+	// Refresh reads the list of targets from the platform into History.
+	Refresh func(ctx context.Context)
 	// Records counts the records that were made, Dropped those that were not sent because too many
 	// waited or their names are too long, and Finds the questions to control hosts.
 	Records, Dropped, Finds *expvar.Int
@@ -71,6 +77,9 @@
 	hosts   []netip.AddrPort
 	pending []control.StreamRecord
 	wake    chan struct{}
+
+	refreshing  singleflight.Group
+	refreshedAt time.Time // when Refresh was last called; used within refreshing
 }
 
 // NewKeeper returns a Keeper that publishes its counters in m.
@@ -148,9 +157,13 @@
 
 // Find returns where a stream of one of the services began. It asks all control hosts, and takes the
 // first record. Without one the stream began at the only version that its service had within the
-// window, if each had one: streams that began while there were several have a record.
+// window, if each had one: streams that began while there were several have a record. The list that this
+// process has says nothing of that: the process may have been cut off or suspended while targets of another
+// version joined and others sent them streams. So most control hosts have to reply with a current list,
+// or this process reads the list now.
 func (k *Keeper) Find(ctx context.Context, stream string, services []string, window time.Duration) Origin {
 	k.Finds.Add(1)
+	asked := k.Clock.Now()
 	k.mu.Lock()
 	hosts := k.hosts
 	k.mu.Unlock()
@@ -173,13 +186,7 @@
 			listed[x.Service] = append(listed[x.Service], x)
 		}
 	}
-	source := OnlyVersionHere
-	known := k.History.Known() >= window
-	if known {
-		for _, s := range services {
-			add(k.History.Versions(s))
-		}
-	}
+	known, current := false, 0
 	for range hosts {
 		r := <-replies
 		if r == nil {
@@ -188,10 +195,25 @@
 		if r.Found != nil {
 			return Origin{Source: Recorded, Record: *r.Found}
 		}
-		source = OnlyVersion
+		if r.Known > 0 {
+			current++
+		}
 		known = known || r.Known >= window
 		add(r.Listed)
 	}
+	source := OnlyVersion
+	if 2*current <= len(hosts) {
+		source = OnlyVersionHere
+		if !k.refresh(ctx, asked) {
+			return Origin{}
+		}
+	}
+	if k.History.Known() >= window {
+		known = true
+		for _, s := range services {
+			add(k.History.Versions(s))
+		}
+	}
 	o := Origin{Source: source, Versions: map[string]string{}}
 	for _, s := range services {
 		v, only := versions.Only(listed[s], window)
@@ -202,3 +224,24 @@
 	}
 	return o
 }
+
+// refresh reads the list of targets and reports whether it succeeded since the given time. Concurrent calls share
+// readings.
+func (k *Keeper) refresh(ctx context.Context, since time.Time) bool {
+	if k.Refresh == nil {
+		return false
+	}
+	for began := (time.Time{}); began.Before(since); {
+		v, _, _ := k.refreshing.Do("", func() (any, error) {
+			if wait := refreshInterval - k.Clock.Since(k.refreshedAt); wait > 0 {
+				k.Clock.Sleep(wait)
+			}
+			k.refreshedAt = k.Clock.Now()
+			k.Refresh(context.WithoutCancel(ctx))
+			return k.refreshedAt, nil
+		})
+		// A reading that another call began may be too old.
+		began = v.(time.Time)
+	}
+	return k.History.ObservedSince(since)
+}
--- a/internal/controller/streams/keeper_test.go
+++ b/internal/controller/streams/keeper_test.go
@@ -28,40 +28,62 @@
 }
 
 // TestFindWithoutARecord guards against continuing a stream at a version that did not begin it when
-// control hosts lost their records, know less than the process that asks, or do not reply.
+// control hosts lost their records, know less than the process that asks, or do not reply; and at an entry that was
+// cut off or suspended while targets of another version joined, which other entries sent streams.
 func TestFindWithoutARecord(t *testing.T) {
 	const window = 10 * time.Second
 	tests := []struct {
 		name  string
 		hosts []string // lists that each control host followed
 		own   string
-		want  Source
+		// now is the list as the platform has it when the process reads it, a space if it cannot.
+		now  string
+		want Source
 	}{
-		{"one version", []string{"aaaaaaaaaaaa", "aaaaaaaaaaaa"}, "aaaaaaaaaaaa", OnlyVersion},
-		{"one host is new", []string{"aaaaaaaaaaaa", "          aa"}, "aaaaaaaaaaaa", OnlyVersion},
-		{"all hosts are new, this process is not", []string{"          aa"}, "aaaaaaaaaaaa", OnlyVersion},
-		{"all are new", []string{"          aa"}, "         aaa", Unknown},
-		{"two versions", []string{"aaaaaaaaaaab"}, "aaaaaaaaaaaa", Unknown},
-		{"this process knows of another", []string{"aaaaaaaaaaaa"}, "aaaaaaaaaaab", Unknown},
-		{"one host knows of another", []string{"aaaaaaaaaaaa", "aaaaaaaaaaab"}, "aaaaaaaaaaaa", Unknown},
-		{"no host replies", nil, "aaaaaaaaaaaa", OnlyVersionHere},
-		{"no host replies, two versions", nil, "aaaaabbbbbbb", Unknown},
+		{"one version", []string{"aaaaaaaaaaaa", "aaaaaaaaaaaa"}, "aaaaaaaaaaaa", " ", OnlyVersion},
+		{"one host is new", []string{"aaaaaaaaaaaa", "          aa"}, "aaaaaaaaaaaa", " ", OnlyVersion},
+		{"all hosts are new, this process is not", []string{"          aa"}, "aaaaaaaaaaaa", " ", OnlyVersion},
+		{"all are new", []string{"          aa"}, "         aaa", " ", Unknown},
+		{"two versions", []string{"aaaaaaaaaaab"}, "aaaaaaaaaaaa", " ", Unknown},
+		{"this process knows of another", []string{"aaaaaaaaaaaa"}, "aaaaaaaaaaab", " ", Unknown},
+		{"one host knows of another", []string{"aaaaaaaaaaaa", "aaaaaaaaaaab"}, "aaaaaaaaaaaa", " ", Unknown},
+		{"no host replies", nil, "aaaaaaaaaaaa", "a", OnlyVersionHere},
+		{"no host replies, two versions", nil, "aaaaabbbbbbb", "b", Unknown},
+		{"no host replies, another version has joined", nil, "aaaaaaaaaaaa", "ab", Unknown},
+		{"no host replies, the list cannot be read", nil, "aaaaaaaaaaaa", " ", Unknown},
+		{"one of three replies, another version has joined", []string{"aaaaaaaaaaaa", "", ""}, "aaaaaaaaaaaa", "ab", Unknown},
+		{"one of three replies", []string{"aaaaaaaaaaaa", "", ""}, "aaaaaaaaaaaa", "a", OnlyVersionHere},
+		{"two of three reply", []string{"aaaaaaaaaaaa", "aaaaaaaaaaaa", ""}, "aaaaaaaaaaaa", " ", OnlyVersion},
+		{"the hosts' lists are old, another version has joined", []string{"aaaaaaaa", "aaaaaaaa"}, "aaaaaaaaaaaa", "ab", Unknown},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
 			start := clock.Now()
-			clock.Advance(11 * time.Second)
+			clock.Advance(11*time.Second + 500*time.Millisecond)
 			history := func(lists string) *versions.History {
 				known := strings.TrimLeft(lists, " ")
-				return followed(clock, start.Add(time.Duration(len(lists)-len(known))*time.Second), known)
+				return followed(clock, start.Add(time.Duration(len(lists)-len(known))*time.Second), known) // a list that ends early is old
 			}
 			k := NewKeeper(wire.NewClient(nil), clock, history(test.own), new(expvar.Map).Init())
 			var hosts []netip.AddrPort
 			for _, lists := range test.hosts {
+				if lists == "" {
+					hosts = append(hosts, netip.MustParseAddrPort("127.0.0.1:1"))
+					continue
+				}
 				hosts = append(hosts, serve(t, &Memory{Clock: clock, History: history(lists)}))
 			}
 			k.SetHosts(hosts)
+			k.Refresh = func(context.Context) {
+				var list []rhubarbgate.Instance
+				for _, v := range strings.TrimSpace(test.now) {
+					list = append(list, rhubarbgate.Instance{Service: "s", Version: string(v)})
+				}
+				if len(list) > 0 {
+					k.History.Observe(list, clock.Now())
+				}
+			}
 			qt.Assert(t, k.Find(context.Background(), "unknown", []string{"s"}, window).Source, qt.Equals, test.want)
 		})
 	}
--- a/internal/policy/versions/history.go
+++ b/internal/policy/versions/history.go
@@ -85,6 +85,13 @@
 	return now.Sub(h.since)
 }
 
+// ObservedSince reports whether the newest list was requested at the given time or later.
+func (h *History) ObservedSince(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.newest.IsZero() && !h.newest.Before(t)
+}
+
 // Versions returns the versions of a service's software and when they were last listed, in order.
 func (h *History) Versions(service string) []Listed {
 	h.mu.Lock()
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -107,6 +107,7 @@
 	table := d.table()
 	table.Versions = &versions.History{Clock: d.Clock}
 	origins := streams.NewKeeper(d.Wire, d.Clock, table.Versions, d.Metrics)
+	origins.Refresh = table.Refresh
 	keeper := targetlimits.NewKeeper(name, controls, d.Clock, d.Logger, d.Metrics)
 	recorder := crashes.NewRecorder(table, controls, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
