--- a/internal/controller/batch/dispatcher.go
+++ b/internal/controller/batch/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
@@ -66,8 +67,9 @@
 	d.Machine.LeasedItems(func(r jobs.ItemRef) { d.deadlines[r] = now.Add(LeaseTTL) })
 }
 
-// Pick chooses up to n pending items that need one of needs. The leader proposes
-// their leases and then calls RecordGranted.
+// Pick chooses up to n pending items that need one of needs, and no more than fit into the reply
+// to the side, but at least one if there is one. The leader proposes their leases and then calls
+// RecordGranted.
 func (d *Dispatcher) Pick(needs []string, n int) []jobs.ItemRef {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -84,10 +86,15 @@
 		pending[i].ItemsPerSecond = d.completionRate
 	}
 	var refs []jobs.ItemRef
+	bytes := 0
 	for len(refs) < n && len(pending) > 0 {
 		i := d.Order.Next(now, pending)
 		ref, ok := d.next(pending[i], needed)
 		if ok {
+			if bytes += d.Machine.GrantBytes(ref); len(refs) > 0 && bytes > wire.BatchBytes {
+				d.Machine.PutBack(ref)
+				break
+			}
 			refs = append(refs, ref)
 			pending[i].Pending--
 		}
--- a/internal/controller/batch/dispatcher_test.go
+++ b/internal/controller/batch/dispatcher_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/order"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 	"rhubarbgate.example/rhubarbgate/internal/storage/disk"
 )
@@ -85,3 +87,43 @@
 	qt.Assert(t, found(), qt.Equals, 0)
 	qt.Assert(t, d.UnaskedCount(), qt.Equals, 0)
 }
+
+// TestLeasesFitIntoOneMessage guards against a reply with more bytes of items than a message may have, whose items
+// no side can read and that are leased again together for ever.
+func TestLeasesFitIntoOneMessage(t *testing.T) {
+	tests := []struct {
+		name            string
+		line, progress  int // bytes
+		items, perReply int
+	}{
+		{"small", 100, 0, 20, 8},
+		{"as large as a job may be", 3_100_000, 0, 4, 1},
+		{"two fit", wire.BatchBytes / 2, 0, 5, 2},
+		{"two fit with their partial output", wire.BatchBytes / 4, wire.BatchBytes / 4, 5, 2},
+		{"larger than a batch", wire.BatchBytes + 1, 0, 3, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			m := jobs.New(&disk.Spill{Dir: t.TempDir()})
+			for i := range test.items {
+				id := fmt.Sprintf("j-%02d", i)
+				s := &jobs.Submit{ID: id, Window: time.Second, Retention: time.Hour, Attempts: 3, Items: []jobs.ItemInput{{ID: "i", Needs: "r", Idempotent: true, Line: make([]byte, test.line)}}}
+				qt.Assert(t, m.Apply(&jobs.Command{At: clock.Now(), Submit: s}).Err == nil, qt.IsTrue)
+				ref := jobs.ItemRef{Job: id, Attempt: 1}
+				m.Apply(&jobs.Command{At: clock.Now(), Lease: &jobs.Lease{Side: "s", Items: []jobs.ItemRef{ref}}})
+				m.Apply(&jobs.Command{At: clock.Now(), Return: &jobs.Return{Items: []jobs.ItemRef{ref}, Progress: [][]byte{make([]byte, test.progress)}}})
+			}
+			d := &Dispatcher{
+				Clock: clock, Machine: m, Order: &order.Deadline{Random: rand.New(rand.NewPCG(1, 1))},
+				Weight: func(string) float64 { return 1 }, ItemRate: func(string) (limit.Rate, bool) { return limit.Rate{}, false },
+			}
+			d.Begin()
+			for left := test.items; left > 0; {
+				granted := lease(d, m, "side", "1", 8)
+				qt.Assert(t, granted, qt.Equals, min(test.perReply, left))
+				left -= granted
+			}
+		})
+	}
+}
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -131,7 +131,7 @@
 	tasks.Go(func() { served <- h.server.Serve(h.Listener) })
 	if h.Relay != nil {
 		mux := wire.NewMux()
-		mux.OnPanic = wire.LogPanics(h.Logger)
+		mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
 		configuration.Register(mux, watcher, h.Clock)
 		tasks.Go(func() { served <- mux.Serve(work, h.Relay) })
 	}
--- a/internal/role/entry/job_test.go
+++ b/internal/role/entry/job_test.go
@@ -261,3 +261,28 @@
 		})
 	}
 }
+
+// TestJobsWithLargeItems guards against items of several megabytes that are leased together, do not fit into one message, and are
+// never run although the target is idle.
+func TestJobsWithLargeItems(t *testing.T) {
+	f := startFleetOf(t, 1, func(x *platformtest.Target) { x.CrashPart, x.Events, x.Pace = "", 4, 250*time.Millisecond })
+	f.startStores()
+	f.startSide(f.targets[0], f.listen(), f.seeds)
+	// All slots are taken while the large items arrive.
+	qt.Assert(t, f.submit(0, "small", callerKey, itemIDs("small", 8)).Status, qt.Equals, http.StatusAccepted)
+	const count = 8
+	var callers sync.WaitGroup
+	for i := range count {
+		callers.Go(func() {
+			id := fmt.Sprintf("large-%d", i)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			r := f.client.SubmitPadded(ctx, f.entries[i%entryCount], id, callerKey, itemIDs(id, 1), 3_000_000)
+			qt.Check(t, r.Status, qt.Equals, http.StatusAccepted, qt.Commentf("%v", r.Err))
+		})
+	}
+	callers.Wait()
+	for i := range count {
+		f.awaitResults(fmt.Sprintf("large-%d", i), callerKey, 1, 20*time.Second)
+	}
+}
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -280,7 +280,7 @@
 	defer stop()
 	h.transport.Start(work)
 	mux := wire.NewMux()
-	mux.OnPanic = wire.LogPanics(h.Logger)
+	mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
 	h.registerMethods(mux)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { h.fail(mux.Serve(work, h.Listener)) })
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -24,6 +24,9 @@
 	maxLeaseItems = 256
 	// maxPageBytes bounds one page of a file or of results.
 	maxPageBytes = 1 << 20
+	// maxCommandBytes bounds a command, which has to fit into one message between replicas. A larger one
+	// would be in the leader's log and never be replicated, nor anything after it.
+	maxCommandBytes = wire.MaxMessageBytes - 1<<20
 )
 
 // registerMethods registers the host's RPC methods and the roles that may call them.
@@ -92,6 +95,10 @@
 	if err != nil {
 		return nil, false, errors.Trace(err)
 	}
+	if len(data) > maxCommandBytes {
+		h.Logger.WithFields(log.Fields{"group": group, "bytes": len(data), "limit": maxCommandBytes}).Warn("a command is too large to be replicated")
+		return nil, false, rhubarbgate.Errorf(rhubarbgate.CodeTooLarge, rhubarbgate.NotRun, "a command of %d bytes, more than %d, is too large to be replicated", len(data), maxCommandBytes)
+	}
 	done := make(chan raft.Result, 1)
 	h.groups[group].Propose(data, func(r raft.Result) {
 		if r.Err == nil {
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -36,7 +36,7 @@
 	var tasks conc.WaitGroup
 	if h.Listener != nil {
 		mux := wire.NewMux()
-		mux.OnPanic = wire.LogPanics(h.Logger)
+		mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
 		wire.Unary(mux, side.MethodContinuity, wire.Entries, h.handleContinuity)
 		tasks.Go(func() { _ = mux.Serve(work, h.Listener) })
 	}
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -149,7 +149,7 @@
 		return h.runBatchOnly(ctx, work)
 	}
 	mux := wire.NewMux()
-	mux.OnPanic = wire.LogPanics(h.Logger)
+	mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
 	wire.ServerStream(mux, side.MethodRun, wire.Entries, h.handleRun)
 	wire.ServerStream(mux, side.MethodReport, wire.Entries, h.handleReport)
 	configuration.Register(mux, h.watcher, h.Clock)
--- a/internal/role/side/report.go
+++ b/internal/role/side/report.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"rhubarbgate.example/rhubarbgate/internal/controller/batch"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
 
@@ -51,8 +52,23 @@
 		byGroup[x.group] = append(byGroup[x.group], x.outcome)
 	}
 	for group, outcomes := range byGroup {
-		w.reportGroup(group, outcomes)
+		for len(outcomes) > 0 {
+			n := fitting(outcomes)
+			w.reportGroup(group, outcomes[:n])
+			outcomes = outcomes[n:]
+		}
+	}
+}
+
+// fitting returns how many of the first outcomes fit into one message, at least one.
+func fitting(outcomes []jobs.Outcome) int {
+	bytes := 0
+	for i, o := range outcomes {
+		if bytes += len(o.Output); i > 0 && bytes > wire.BatchBytes {
+			return i
+		}
 	}
+	return len(outcomes)
 }
 
 func (w *worker) reportGroup(group uint32, outcomes []jobs.Outcome) {
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 
@@ -65,6 +66,8 @@
 	outcomes []groupOutcome
 	flush    chan struct{}
 	wakeup   chan struct{}
+	// leaseFailures counts the calls for leases that failed in a row, by group.
+	leaseFailures map[uint32]int
 }
 
 // task is one leased item.
@@ -97,7 +100,7 @@
 func newWorker(h *Host) *worker {
 	return &worker{
 		host: h, clock: h.Clock, incarnation: strconv.FormatUint(h.Random.Uint64(), 36), random: rand.New(rand.NewPCG(h.Random.Uint64(), 0)),
-		leased: map[jobs.ItemRef]*task{}, flush: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
+		leased: map[jobs.ItemRef]*task{}, leaseFailures: map[uint32]int{}, flush: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 	}
 }
 
@@ -262,7 +265,12 @@
 	return leased
 }
 
+// leaseFromGroup leases up to n items. After a call that failed it is one, since the reply may have been
+// what failed: too large for a message, or for the time that the call has.
 func (w *worker) leaseFromGroup(ctx context.Context, group uint32, needs []string, n int) int {
+	if w.leaseFailures[group] > 0 {
+		n = 1
+	}
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	sent := w.clock.Now()
@@ -270,8 +278,13 @@
 		Group: group, Side: w.host.Name, Incarnation: w.incarnation, Needs: needs, Count: n,
 	})
 	if err != nil {
+		if ctx.Err() == nil {
+			w.leaseFailures[group]++
+			w.logLeaseFailure(group, n, err)
+		}
 		return 0
 	}
+	delete(w.leaseFailures, group)
 	for _, g := range r.Granted {
 		w.addTask(g, group, sent.Add(r.TTL))
 	}
@@ -279,6 +292,13 @@
 	return len(r.Granted)
 }
 
+// logLeaseFailure logs failures 1, 2, 4, 8 and so on in a row, to bound the log.
+func (w *worker) logLeaseFailure(group uint32, n int, err error) {
+	if failures := w.leaseFailures[group]; failures&(failures-1) == 0 {
+		w.host.Logger.WithError(err).WithFields(log.Fields{"group": group, "items": n, "failures": failures}).Warn("cannot lease items")
+	}
+}
+
 func (w *worker) addTask(g jobs.Grant, group uint32, leaseExpiry time.Time) {
 	t := &task{grant: g, group: group, leaseExpiry: leaseExpiry, queuedSince: w.clock.Now()}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
--- a/internal/rpc/wire/client.go
+++ b/internal/rpc/wire/client.go
@@ -86,10 +86,19 @@
 
 // Call sends one request and waits for its reply. A failure of the transport is a
 // *rhubarbgate.Error with CodeUnavailable; its verdict is NotRun only if the connection
-// could not be opened.
+// could not be opened. A request or a reply that is too large to be sent is one with CodeTooLarge.
 func Call[Out, In any](ctx context.Context, c *Client, a netip.AddrPort, name string, in *In) (*Out, error) {
+	// A message that is found too large within a call would leave the connection unusable.
+	b, err := encoding{}.Marshal(in)
+	var tooLarge *SizeError
+	if errors.As(err, &tooLarge) {
+		return nil, tooLarge.asError(rhubarbgate.NotRun)
+	}
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	e := new(envelope[Out])
-	if err := c.conn(ctx, a).Invoke(ctx, name, encoding{}, in, e); err != nil {
+	if err := c.conn(ctx, a).Invoke(ctx, name, encoding{}, encoded(b), e); err != nil {
 		return nil, transportError(err, a, name)
 	}
 	if e.Err != nil {
--- a/internal/rpc/wire/encoding.go
+++ b/internal/rpc/wire/encoding.go
@@ -2,21 +2,59 @@
 package wire
 
 import (
+	"fmt"
+
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"storj.io/drpc"
+
+	"rhubarbgate.example/rhubarbgate"
 )
 
-// MaxMessageBytes bounds the size of one message, in either direction.
-const MaxMessageBytes = 8 << 20
+const (
+	// MaxMessageBytes bounds the size of one message, in either direction.
+	MaxMessageBytes = 8 << 20
+	// BatchBytes bounds the data that one message carries of what callers hand in, where a message can carry more
+	// than one piece: replies to leases, reports of outcomes, pages. Each carries at least one piece, which is
+	// smaller than the rest of MaxMessageBytes.
+	BatchBytes = 2 << 20
+	// maxSentBytes leaves room for what the transport adds to a message.
+	maxSentBytes = MaxMessageBytes - 4<<10
+)
+
+// SizeError reports a message that is too large to be sent. Nothing was written.
+type SizeError struct {
+	Type  string
+	Bytes int
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("a message of type %s has %d bytes, more than %d", e.Type, e.Bytes, maxSentBytes)
+}
+
+// asError returns the error for a call whose request or reply is too large.
+func (e *SizeError) asError(v rhubarbgate.Verdict) *rhubarbgate.Error {
+	return rhubarbgate.Errorf(rhubarbgate.CodeTooLarge, v, "%v", e)
+}
 
 // encoding implements drpc.Encoding with MessagePack.
 type encoding struct{}
 
 var _ drpc.Encoding = encoding{}
 
+// encoded is a message that is encoded already.
+type encoded []byte
+
 func (encoding) Marshal(m drpc.Message) ([]byte, error) {
-	return Marshal(m)
+	if b, ok := m.(encoded); ok {
+		return b, nil
+	}
+	b, err := Marshal(m)
+	if err == nil && len(b) > maxSentBytes {
+		return nil, &SizeError{Type: fmt.Sprintf("%T", m), Bytes: len(b)}
+	}
+	return b, err
 }
 
 func (encoding) Unmarshal(b []byte, m drpc.Message) error {
--- a/internal/rpc/wire/mux.go
+++ b/internal/rpc/wire/mux.go
@@ -39,6 +39,8 @@
 type Mux struct {
 	// OnPanic, if set, is called after a handler panicked.
 	OnPanic func(method string, value any, stack []byte)
+	// OnTooLarge, if set, is called for a reply that is too large to be sent.
+	OnTooLarge func(method string, err *SizeError)
 	// Clock paces attempts to accept connections; NewMux sets the real one.
 	Clock clockwork.Clock
 
@@ -57,6 +59,13 @@
 	}
 }
 
+// LogTooLarge returns a function for Mux.OnTooLarge that logs to l.
+func LogTooLarge(l log.Interface) func(method string, err *SizeError) {
+	return func(method string, err *SizeError) {
+		l.WithFields(log.Fields{"method": method, "type": err.Type, "bytes": err.Bytes, "limit": maxSentBytes}).Error("a reply is too large to be sent")
+	}
+}
+
 // Unary registers a method with one request and one reply. Only peers with one of the
 // roles may call it. On connections without TLS the role is not checked.
 func Unary[In, Out any](m *Mux, name string, roles []Role, f func(context.Context, *In) (*Out, error)) {
@@ -66,7 +75,15 @@
 			return err
 		}
 		out, err := f(s.Context(), in)
-		return s.MsgSend(&envelope[Out]{Err: rhubarbgate.AsError(err), Value: out}, encoding{})
+		err = s.MsgSend(&envelope[Out]{Err: rhubarbgate.AsError(err), Value: out}, encoding{})
+		var tooLarge *SizeError
+		if errors.As(err, &tooLarge) {
+			if m.OnTooLarge != nil {
+				m.OnTooLarge(name, tooLarge)
+			}
+			err = s.MsgSend(&envelope[Out]{Err: tooLarge.asError(rhubarbgate.MayHaveRun)}, encoding{})
+		}
+		return err
 	}}
 }
 
--- a/internal/state/jobs/query.go
+++ b/internal/state/jobs/query.go
@@ -266,6 +266,33 @@
 	}
 }
 
+// PutBack puts an item that Next returned and that is not to be leased now back to where it was.
+func (m *Machine) PutBack(ref ItemRef) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	j := m.jobs[ref.Job]
+	if j == nil || j.State != Running || !m.leasing || j.items[ref.Index].state != Pending {
+		return
+	}
+	n, i := j.inputFile.inputs[ref.Index].needs, int32(ref.Index)
+	if j.ends[i].delay() > 0 {
+		j.enqueue(n, i)
+		return
+	}
+	j.queues[n] = slices.Insert(j.queues[n], 0, i)
+}
+
+// GrantBytes returns the size of what the lease of an item sends to a side; ref must be one that Next returned.
+func (m *Machine) GrantBytes(ref ItemRef) int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	j := m.jobs[ref.Job]
+	if j == nil {
+		return 0
+	}
+	return j.inputFile.inputs[ref.Index].line.Size() + len(j.progress[int32(ref.Index)])
+}
+
 // BeginLeasing builds the queues of pending items. It is called when the replica
 // becomes the leader.
 func (m *Machine) BeginLeasing() {
