--- a/internal/http/ingress/continuation_test.go
+++ b/internal/http/ingress/continuation_test.go
@@ -35,7 +35,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		t.Cleanup(func() { _ = l.Close() })
 		go r.serve(l)
-		e.list.Extra = append(e.list.Extra, json.RawMessage(fmt.Sprintf(`{"id":"i-%d","service":"lm","address":%q,"zone":"z","slots":8,"state":"ready"}`, i, l.Addr())))
+		e.list.Extra = append(e.list.Extra, json.RawMessage(fmt.Sprintf(`{"id":"i-%d","service":"lm","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0}`, i, l.Addr())))
 	}
 	e.server.Targets.Refresh(context.Background())
 	return e, r
