soak: reused addresses, renamed batch routes, large items

Targets ended and came back as the same service only, the configuration changed keys and versions but no route, items had some bytes, and odd entries always had a version.

Change: a fault gives the address of a target to a target of another service, before the list shows it and after the delay that sides are told, and later brings the former back; no request may run there. The route of batch jobs has another name in each version of the configuration, and every item has to be completed as before. One job in fifteen has one or two items of 3 MB.

The race detector passed on platform, platformtest and the entry's tests.

--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -175,7 +175,11 @@
 func (s *Soak) submitJobs(ctx context.Context, random *rand.Rand) {
 	for n := 0; ctx.Err() == nil; n++ {
 		j := &job{id: fmt.Sprintf("job-%d", n), workspace: "one", key: "key-one-a"}
-		for i := range 1 + random.IntN(6) {
+		count := 1 + random.IntN(6)
+		if random.IntN(15) == 0 {
+			j.itemBytes, count = largeItemBytes, 1+random.IntN(2)
+		}
+		for i := range count {
 			prefix := ""
 			if random.IntN(15) == 0 {
 				prefix = unrunnablePrefix
@@ -212,7 +216,7 @@
 func (s *Soak) submit(ctx context.Context, j *job, entry int) bool {
 	callCtx, cancel := deadline.WithTimeout(context.WithoutCancel(ctx), s.Clock, callerTimeout)
 	defer cancel()
-	r := s.client.Submit(callCtx, netip.AddrPortFrom(s.entries[entry].address, callerPort), j.id, j.key, j.items)
+	r := s.client.SubmitPadded(callCtx, netip.AddrPortFrom(s.entries[entry].address, callerPort), j.id, j.key, j.items, j.itemBytes)
 	ok := r.Err == nil && r.Status == 202
 	j.refused = (j.refused || !j.accepted) && r.PromisesNotRun() && !ok && !j.outcomeUnknown
 	j.outcomeUnknown = j.outcomeUnknown || !ok && !r.PromisesNotRun()
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -43,6 +43,8 @@
 type job struct {
 	id, workspace, key string
 	items              []string
+	// itemBytes is the least size of an item's body.
+	itemBytes int
 	// endless says that no target can finish the items.
 	endless        bool
 	accepted       bool
--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -35,7 +35,7 @@
 // injectSeries injects one to three faults, which follow each other at once.
 func (s *Soak) injectSeries(ctx context.Context, random *rand.Rand) {
 	for range 1 + random.IntN(6)/3 {
-		switch random.IntN(9) {
+		switch random.IntN(10) {
 		case 0, 1:
 			s.withProcess(random, s.processes(), func(p *process) { s.restart(p, syscall.SIGKILL, random) })
 		case 2:
@@ -52,6 +52,8 @@
 			s.withProcess(random, s.processes(), func(p *process) { p.signal(syscall.SIGHUP) })
 		case 8:
 			s.limitTarget(random)
+		case 9:
+			s.reuseAddress(random)
 		}
 	}
 }
@@ -183,6 +185,52 @@
 	t.SetLimit("")
 }
 
+// reuseAddress ends a target, starts one of another service at its address before the list shows
+// that, and later brings the former back.
+func (s *Soak) reuseAddress(random *rand.Rand) {
+	i := random.IntN(len(s.targets))
+	t := s.targets[i]
+	s.mu.Lock()
+	free := !s.reused[t]
+	s.reused[t] = true
+	s.mu.Unlock()
+	if !free {
+		return
+	}
+	s.Logger.WithField("target", t.Instance).Info("giving the address of a target to another service")
+	t.Close()
+	unused := func() { s.Clock.Sleep(addressReuseDelay*11/10 + time.Duration(random.IntN(1000))*time.Millisecond) }
+	unused()
+	x := &platformtest.Target{Instance: "foreign-" + t.Instance, Service: "foreign", Zone: t.Zone, Slots: t.Slots, Events: streamEvents, Pace: eventInterval}
+	if err := x.StartAt(t.Address()); err != nil {
+		s.Logger.WithError(err).Warn("the address is not reused")
+	} else {
+		s.mu.Lock()
+		s.foreign, s.faultCount = append(s.foreign, x), s.faultCount+1
+		s.mu.Unlock()
+		s.Clock.Sleep(time.Duration(random.Int64N(int64(maxReuse / 2))))
+		s.list(i, x)
+		s.Clock.Sleep(time.Duration(random.Int64N(int64(maxReuse / 2))))
+		x.Close()
+		unused()
+	}
+	if err := t.Restart(); err != nil {
+		s.Logger.WithError(err).Warn("the target stays down")
+	}
+	s.list(i, t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reused[t] = false
+}
+
+// list makes the list show a target in place of the i-th.
+func (s *Soak) list(i int, t *platformtest.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed[i] = t
+	s.targetList.Set(slices.Clone(s.listed))
+}
+
 // upgradeTargets gives targets the other software version, one after the other, until ctx is done.
 func (s *Soak) upgradeTargets(ctx context.Context, random *rand.Rand) {
 	for {
--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -152,7 +152,8 @@
 func (l *layout) side(i int, a netip.Addr, seeds string, target netip.AddrPort) *process {
 	return l.process("side", i, a,
 		"--target", target.String(), "--target-name", fmt.Sprintf("side-%d", i), "--slots", "8", "--availability-zone", availabilityZone(i),
-		"--control", seeds, "--fleet-port", strconv.Itoa(fleetPort), "--target-list", l.targetList.String(), "--grace", "3s", "--entry-lag", "0s")
+		"--control", seeds, "--fleet-port", strconv.Itoa(fleetPort), "--target-list", l.targetList.String(), "--grace", "3s", "--entry-lag", "0s",
+		"--address-reuse-delay", addressReuseDelay.String())
 }
 
 // availabilityZone returns the names of three availability zones in turn.
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -64,6 +64,12 @@
 	maxOddPeriod  = 2 * time.Second
 	// crashItem is the item that crashes targets if Soak.CrashingItem is set.
 	crashItem = "crash-item"
+	// addressReuseDelay is how long the address of a target that ended stays unused before one of
+	// another service has it. maxReuse bounds how long that one stays.
+	addressReuseDelay = time.Second
+	maxReuse          = 4 * time.Second
+	// largeItemBytes is the size of the items of some jobs; two of them fit into a submission.
+	largeItemBytes = 3_000_000
 	// defaultInjectors is the default of Soak.Injectors.
 	defaultInjectors = 2
 )
@@ -91,7 +97,9 @@
 	targetList platformtest.List
 	targets    []*platformtest.Target // all that were started
 	// unlisted is a target that only odd entries of the list name.
-	unlisted     *platformtest.Target
+	unlisted *platformtest.Target
+	// foreign are targets of a service to which no route leads, at addresses of targets.
+	foreign      []*platformtest.Target
 	controlHosts []*process
 	storeHosts   []*process
 	entries      []*process
@@ -112,6 +120,10 @@
 	faultCount int
 	// strayCount counts the responses that targets sent out of turn.
 	strayCount atomic.Int64
+	// listed are the targets that the list shows: s.targets, or the foreign one at the same address.
+	listed []*platformtest.Target
+	// reused holds the targets whose address an injector gives to another service.
+	reused map[*platformtest.Target]bool
 	// disturbances are the times in which processes were stopped, frozen or restarting.
 	disturbances []*disturbance
 }
@@ -139,7 +151,7 @@
 	s.client = platformtest.NewClient()
 	s.keys = map[string][]string{"one": {"key-one-a", "key-one-b"}, "two": {"key-two-a"}}
 	s.history.revokedKeys = map[string]time.Time{}
-	s.gracefullyStopping, s.unready, s.faulted = map[*process]bool{}, map[*process]bool{}, map[*process]bool{}
+	s.gracefullyStopping, s.unready, s.faulted, s.reused = map[*process]bool{}, map[*process]bool{}, map[*process]bool{}, map[*platformtest.Target]bool{}
 	defer s.stopAll()
 	if err := s.startAll(); err != nil {
 		return nil, errors.Trace(err)
@@ -189,6 +201,11 @@
 	for _, r := range s.unlisted.Runs() {
 		s.history.addViolation("request %s ran at a target that only odd entries of the list name", r.ID)
 	}
+	for _, t := range s.foreign {
+		for _, r := range t.Runs() {
+			s.history.addViolation("request %s ran at target %s of a service to which no route leads", r.ID, r.Instance)
+		}
+	}
 	s.verifyLimits()
 	s.verifyProcesses()
 	crashes, late := s.verifyCrashes()
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -50,7 +51,8 @@
 	if err := s.unlisted.Start(); err != nil {
 		return errors.Trace(err)
 	}
-	s.targetList.Set(s.targets)
+	s.listed = slices.Clone(s.targets)
+	s.targetList.Set(slices.Clone(s.listed))
 	for _, p := range s.processes() {
 		if err := p.start(s.Binary); err != nil {
 			return errors.Trace(err)
@@ -145,6 +147,9 @@
 	if s.unlisted != nil {
 		s.unlisted.Close()
 	}
+	for _, t := range s.foreign {
+		t.Close()
+	}
 	s.targetList.Close()
 }
 
@@ -152,7 +157,8 @@
 // until one acknowledges it. It returns false if that does not happen in time or the
 // configuration is refused.
 func (s *Soak) configure(ctx context.Context, version uint64, until time.Time) bool {
-	document := platformtest.Document(version, s.keys)
+	// The route of open jobs changes its name with each version.
+	document := platformtest.DocumentWithBatch(fmt.Sprintf("batch-%d", version), version, s.keys)
 	for n := 0; s.Clock.Now().Before(until) && ctx.Err() == nil; n++ {
 		callCtx, cancel := deadline.WithTimeout(ctx, s.Clock, time.Second)
 		r := s.client.Put(callCtx, netip.AddrPortFrom(s.controlHosts[n%controlCount].address, operatorPort), document)
