socket: the refusing port of a test stays in use

Cause: the test. It listened at a port and closed it; until it dialed, another process, such as another package's tests, could get the port and listen there.

Change: the port is that of an open connection, where nobody listens and which nobody else gets. The check is the same.

That another package's tests had the port is inferred: nothing else accepts connections there.

--- a/internal/net/socket/redial_test.go
+++ b/internal/net/socket/redial_test.go
@@ -18,10 +18,11 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	// A port in use at which nobody listens refuses, and no other process gets it.
+	used, err := net.Dial("tcp", l.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
-	refusing := closed.Addr().String()
-	closed.Close()
+	defer used.Close()
+	refusing := used.LocalAddr().String()
 	tests := []struct {
 		name, address string
 		lost          int32 // attempts whose opening packet is lost
