--- a/dialect.go
+++ b/dialect.go
@@ -81,7 +81,12 @@
 
 // TargetLoad is the number of running requests, of waiting requests and of slots
 // at a target.
-type TargetLoad struct{ Running, Waiting, Slots int }
+type TargetLoad struct {
+	Running, Waiting, Slots int
+	// Slowness is the time that work takes at the target now, relative to the usual time; 0 means
+	// that the target does not state it.
+	Slowness float64
+}
 
 // Dialect translates between the platform's HTTP conventions and the types of
 // this package. It makes no policy decisions.
