reserve: entries ask sides for free slots over UDP and reserve them

Entries spread their requests by their own view alone, so requests queue at one target while another has a free slot. The ingress hands the expected wait to an Admission, which is not set yet.

--- a/contended.go
+++ b/contended.go
@@ -58,3 +58,14 @@
 	RetryAfter time.Duration
 	Reason     string
 }
+
+// AdmissionFeedback is implemented by an Admission that learns from what becomes of requests.
+type AdmissionFeedback interface {
+	// RecordFirstEvent records the time from the sending of a request for contended capacity to the
+	// first event of its response.
+	RecordFirstEvent(service string, took time.Duration)
+	// RecordBegun records that a request of a workspace for contended capacity is sent for the first time,
+	// and RecordEnded that it ended. Each RecordBegun is followed by one RecordEnded.
+	RecordBegun(workspace string)
+	RecordEnded(workspace string)
+}
--- a/gate.go
+++ b/gate.go
@@ -65,3 +65,11 @@
 	// report.
 	LoadLost()
 }
+
+// ReservingGate is a LoadGate that also counts reservations of entries.
+type ReservingGate interface {
+	LoadGate
+	// ObserveReserved records the number of reservations for online requests that no load report
+	// covers yet. Batch works are preempted at once if the slots do not suffice.
+	ObserveReserved(n int) Decision
+}
--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -14,6 +14,7 @@
 
 	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/controller/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 	"rhubarbgate.example/rhubarbgate/internal/role/entry"
@@ -37,13 +38,14 @@
 // directFlags are the settings of entries and sides that read the platform's list
 // of targets instead of the targets in the configuration.
 type directFlags struct {
-	targetList, readiness string
-	fleetPort             uint16
+	targetList, readiness, features string
+	fleetPort                       uint16
 }
 
 func (d *directFlags) add(f *pflag.FlagSet) {
 	f.StringVar(&d.targetList, "target-list", "", "IP:PORT of the platform's list of targets; empty means that the configuration lists the targets")
 	f.StringVar(&d.readiness, "readiness", "", "with --target-list: IP:PORT to listen on for the balancer's readiness checks; required for an entry, not used by a side")
+	f.StringVar(&d.features, "features", "", "with --target-list: names of the deployment's contracts, separated by commas; those that enable no feature are ignored, and so is an empty value")
 	f.Uint16Var(&d.fleetPort, "fleet-port", 0, "with --target-list: port of the fleet's processes on control and store hosts, in place of the ports in --control and --parents, and of sides on the hosts of their targets; 0 keeps the ports, and sides do not listen")
 }
 
@@ -79,7 +81,7 @@
 		AvailabilityZone: e.availabilityZone, Control: replacePorts(a.control, e.direct.fleetPort), Dialect: platform.Dialect{},
 		Directory: e.direct.directory(&v), Wire: wire.NewClient(nil), Clock: boottime.New(), Random: newRandom(0),
 		Logger: newLogger(os.Stdout, "entry"), Metrics: newMetrics("Entry"), MaxAge: e.maxAge, BalancerLag: e.lag, Grace: e.grace,
-		SidePort: e.direct.fleetPort,
+		SidePort: e.direct.fleetPort, Features: platform.Features(e.direct.features),
 	}
 	if err := v.err(); err != nil {
 		return err
@@ -97,7 +99,13 @@
 	if d.Readiness, err = socket.Listen(readiness.String()); err != nil {
 		return errors.Trace(err)
 	}
-	d.Logger.WithField("listen", a.listen.String()).Info("serving")
+	if e.direct.fleetPort != 0 {
+		// The port is any free one; sides reply to where an ask came from.
+		if d.Asks = listenForDatagrams(netip.AddrPort{}, d.Logger); d.Asks == nil {
+			d.Logger.Warn("sides are not asked for free slots")
+		}
+	}
+	d.Logger.WithField("listen", a.listen.String()).WithField("contendedCapacity", d.Features.ContendedCapacity).Info("serving")
 	return errors.Trace(d.Run(ctx))
 }
 
@@ -135,12 +143,25 @@
 		return err
 	}
 	if s.direct.fleetPort != 0 {
-		h.Listener = listenForEntries(netip.AddrPortFrom(t.Addr(), s.direct.fleetPort), h.Logger)
+		address := netip.AddrPortFrom(t.Addr(), s.direct.fleetPort)
+		h.Listener = listenForEntries(address, h.Logger)
+		h.Asks = listenForDatagrams(address, h.Logger)
 	}
 	h.Logger.WithField("target", t.String()).Info("serving")
 	return errors.Trace(h.Run(ctx))
 }
 
+// listenForDatagrams opens a UDP socket at an address; the zero address stands for any. Without the socket
+// entries choose targets by their own view alone, so a failure is logged and does not stop the process.
+func listenForDatagrams(a netip.AddrPort, l log.Interface) reserve.Conn {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		l.WithError(err).WithField("listen", a.String()).Warn("cannot exchange asks for free slots")
+		return nil
+	}
+	return c
+}
+
 // listenForEntries listens for entries that ask about a side's target. Without a listener,
 // as on a host with several targets whose address another side took, the side only cannot
 // confirm that its target restarted, so a failure is logged and does not stop it.
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -450,7 +450,7 @@
 		Connected: x.Client.HasIdle(idempotent),
 	}
 	if r := x.load.Load(); r != nil && now.Sub(r.at) < loadReportTTL {
-		c.Reported, c.Queued = r.Running, r.Waiting
+		c.Reported, c.Queued, c.Slowness = r.Running, r.Waiting, r.Slowness
 	}
 	return c
 }
--- a/internal/controller/gatekeeper/gatekeeper.go
+++ b/internal/controller/gatekeeper/gatekeeper.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// ObserveReserved passes the number of reservations that no load report covers to the gate, if it is a
+// ReservingGate, and returns how many batch works it preempts for them.
+func (k *Gatekeeper) ObserveReserved(n int) (preempted int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	g, ok := k.Gate.(rhubarbgate.ReservingGate)
+	if !ok {
+		return 0
+	}
+	d := g.ObserveReserved(n)
+	k.applyDecision(d)
+	return len(d.Preempt)
+}
+
 // LoadLost reports to the gate, if it is a LoadGate, that the engine no longer
 // reports its load.
 func (k *Gatekeeper) LoadLost() {
--- a/internal/http/ingress/exchange.go
+++ b/internal/http/ingress/exchange.go
@@ -37,6 +37,9 @@
 	// for trial.
 	trial bool
 
+	// admitted says that the admission policy was told that the request began.
+	admitted bool
+
 	content string // cache of contentPart
 
 	// stopWatch ends the watch on the caller's connection.
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -72,6 +72,7 @@
 	hasVersion   bool
 	origin       *discovery.Target
 	originSource streams.Source
+	contention
 }
 
 // attempt is one sending of the request to one target.
@@ -219,6 +220,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// Sides may have been asked meanwhile.
+	now = s.Clock.Now()
+	if remaining = x.Deadline.Sub(now); remaining <= 0 {
+		return nil, notRun(rhubarbgate.CodeOverloaded, "the deadline passed before a target was found")
+	}
 	if retryUnreached {
 		q.unreached = without(q.unreached, t)
 	} else {
@@ -279,6 +285,9 @@
 		wait = min(wait, untilToken)
 		list, candidates = slices.Delete(list, i, i+1), slices.Delete(candidates, i, i+1)
 	}
+	if t, err := q.chooseByOffer(list, candidates); t != nil || err != nil {
+		return t, err
+	}
 	for len(list) > 0 {
 		i := s.Picker.Pick(rhubarbgate.PickRequest{Workspace: q.x.Workspace}, candidates)
 		if s.Limits.Take(list[i].Name()) {
@@ -313,6 +322,7 @@
 	s.Limits.Observe(a.target, a.head.Limit, a.head.HasLimit)
 	if a.head.HasLoad {
 		s.Targets.RecordLoad(a.target, a.head.Load)
+		s.Reservations.ObserveLoad(a.service, a.head.Load)
 	}
 	if a.head.NotRun {
 		s.Counts.TargetRefusals.Add(1)
@@ -384,6 +394,7 @@
 		return nil
 	}
 	a.recordAnswer()
+	a.observeHold()
 	a.finish(failed)
 	a.x.HTTP.Response.SetBodyRaw(body)
 	return nil
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -21,6 +21,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/controller/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
@@ -56,6 +57,11 @@
 	Limits *targetlimits.Keeper
 	// Streams, if set, remembers which software version began a stream.
 	Streams *streams.Keeper
+	// Reservations, if set, asks the sides of targets for free slots.
+	Reservations *reserve.Client
+	// Admission, if set, decides whether requests for contended capacity are sent. It may implement
+	// rhubarbgate.AdmissionFeedback.
+	Admission rhubarbgate.Admission
 	// Stores calls the store hosts, which keep the batch jobs.
 	Stores *control.Client
 	Picker rhubarbgate.Picker
@@ -75,8 +81,9 @@
 	readiness *fasthttp.Server
 	handle    Handler
 	inFlight  atomic.Int64
-	stopAt    atomic.Pointer[time.Time] // set while draining
-	startedAt time.Time                 // when Prepare was called
+	stopAt    atomic.Pointer[time.Time]     // set while draining
+	startedAt time.Time                     // when Prepare was called
+	feedback  rhubarbgate.AdmissionFeedback // nil if Admission does not take it
 	randomMu  sync.Mutex
 }
 
@@ -84,9 +91,9 @@
 // streams resumed at another target, responses that were truncated, requests that targets
 // refused, callers that disconnected, requests whose handling panicked, requests whose prompts
 // are blocked, and responses that were withheld because their status would promise that nothing ran, and streams that callers
-// take up, and those of them that were refused because of their software version.
+// take up, and those of them that were refused because of their software version, and requests that the admission policy refused.
 type Counters struct {
-	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises, TakenUp, VersionsGone *expvar.Int
+	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises, TakenUp, VersionsGone, NotAdmitted *expvar.Int
 }
 
 // NewCounters creates the counters and publishes them in m.
@@ -101,12 +108,14 @@
 		TargetRefusals: counter("TargetsRefused"), DisconnectedCallers: counter("CallersLeft"),
 		Panics: counter("Panics"), Quarantined: counter("RequestsQuarantined"),
 		UnstatedPromises: counter("UnstatedPromises"), TakenUp: counter("StreamsTakenUp"), VersionsGone: counter("StreamsRefusedByVersion"),
+		NotAdmitted: counter("RequestsNotAdmitted"),
 	}
 }
 
 // Prepare builds the filter chain and the HTTP servers. Call it once, before Serve.
 func (s *Server) Prepare() {
 	s.startedAt = s.Clock.Now()
+	s.feedback, _ = s.Admission.(rhubarbgate.AdmissionFeedback)
 	s.handle = chain(s.serve, &routeFilter{server: s}, &keyFilter{server: s}, &quarantineFilter{server: s}, &rateFilter{server: s})
 	s.http = &fasthttp.Server{
 		Handler: s.serveHTTP, Name: "rhubarbgate", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
@@ -213,6 +222,7 @@
 
 // finish releases the resources of the exchange. Call it once, after the response.
 func (s *Server) finish(x *Exchange) {
+	s.recordEnded(x)
 	x.stopWatch()
 	x.Cancel(context.Canceled)
 	s.inFlight.Add(-1)
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -24,6 +24,7 @@
 	if e := r.begin(a); e != nil {
 		return e
 	}
+	a.observeFirstEvent()
 	if id := a.x.HTTP.Request.Header.Peek(lastEventHeader); len(id) > 0 {
 		a.logContinuation("stream taken up", string(id))
 	} else {
@@ -105,6 +106,7 @@
 		}
 		if err == io.EOF {
 			r.recordAnswer()
+			r.observeHold()
 			r.finish(false)
 			return 0, io.EOF
 		}
@@ -204,6 +206,7 @@
 		err = errors.Errorf("the response has more than %d bytes", maxResponseBytes)
 	case err == io.EOF:
 		l.recordAnswer()
+		l.observeHold()
 		l.finish(false)
 		return n, io.EOF
 	}
--- a/internal/policy/gate/yielding.go
+++ b/internal/policy/gate/yielding.go
@@ -29,17 +29,42 @@
 	startedSinceReport int
 	preempted          map[uint64]bool // preempted work that has not ended yet
 	loadKnown          bool            // false until the first report and after LoadLost
+	reserved           int             // reservations that no report covers
+	// preemptionsEnded are the times, in order, when preempted work ended that the newest report may count.
+	preemptionsEnded []time.Time
 }
 
-var _ rhubarbgate.LoadGate = (*Yielding)(nil)
+var _ rhubarbgate.ReservingGate = (*Yielding)(nil)
+
+// endedLag is the time for which load reports may count work that has ended: they are 50 ms old when
+// they are read, and reading takes up to 20 ms more.
+const endedLag = 70 * time.Millisecond
 
 // ObserveLoad implements rhubarbgate.LoadGate. It preempts as much batch work as the
 // report shows in excess of the slots.
 func (y *Yielding) ObserveLoad(l rhubarbgate.TargetLoad) rhubarbgate.Decision {
 	y.reportedLoad, y.startedSinceReport, y.loadKnown = l.Running+l.Waiting, 0, true
+	return y.preempt()
+}
+
+// ObserveReserved implements rhubarbgate.ReservingGate.
+func (y *Yielding) ObserveReserved(n int) rhubarbgate.Decision {
+	grown := n > y.reserved
+	y.reserved = n
+	if !grown || !y.loadKnown {
+		return rhubarbgate.Decision{}
+	}
+	return y.preempt()
+}
+
+// preempt preempts as much batch work as the slots lack for the reported load and the reservations.
+func (y *Yielding) preempt() rhubarbgate.Decision {
 	var d rhubarbgate.Decision
 	// The report still counts preempted work that has not ended.
 	excess := y.reportedLoad - len(y.preempted) + y.Headroom - y.Slots
+	if y.reserved > 0 {
+		excess += y.startedSinceReport + y.reserved - y.recentlyEnded()
+	}
 	for excess > 0 && len(y.running) > 0 {
 		i := y.preemptionIndex()
 		id := y.running[i].ID
@@ -51,6 +76,14 @@
 	return d
 }
 
+// recentlyEnded returns the number of preempted works that ended so short a time ago that the newest
+// report counts them.
+func (y *Yielding) recentlyEnded() int {
+	now := y.Clock.Now()
+	y.preemptionsEnded = slices.DeleteFunc(y.preemptionsEnded, func(at time.Time) bool { return now.Sub(at) >= endedLag })
+	return len(y.preemptionsEnded)
+}
+
 // preemptionIndex returns the index in running of the work to preempt next. It prefers
 // overdue work, because other work may still finish by its deadline.
 func (y *Yielding) preemptionIndex() int {
@@ -81,6 +114,10 @@
 
 // Done implements rhubarbgate.Gate.
 func (y *Yielding) Done(id uint64) rhubarbgate.Decision {
+	if y.preempted[id] && y.reserved > 0 {
+		y.recentlyEnded()
+		y.preemptionsEnded = append(y.preemptionsEnded, y.Clock.Now())
+	}
 	delete(y.preempted, id)
 	y.running = slices.DeleteFunc(y.running, func(w rhubarbgate.Work) bool { return w.ID == id })
 	return rhubarbgate.Decision{}
@@ -94,12 +131,12 @@
 
 // FreeBatchSlots implements rhubarbgate.Gate. The occupied slots are the larger of two
 // counts: the reported load plus the work started since that report, and the batch
-// work that has not ended.
+// work that has not ended. Reservations come on top.
 func (y *Yielding) FreeBatchSlots() int {
 	if !y.loadKnown {
 		return 0
 	}
-	return y.Slots - y.Headroom - max(y.reportedLoad+y.startedSinceReport, len(y.running)+len(y.preempted))
+	return y.Slots - y.Headroom - y.reserved - max(y.reportedLoad+y.startedSinceReport, len(y.running)+len(y.preempted))
 }
 
 // EstimatedWait implements rhubarbgate.Gate. Online work is never queued here.
--- a/internal/policy/pick/least.go
+++ b/internal/policy/pick/least.go
@@ -26,6 +26,9 @@
 	// limitedCost is the cost of a target that states a limit. Such a target is spared while others
 	// are nearly idle, which also saves its tokens for when they are not.
 	limitedCost = 0.6
+	// slowCost is the cost per unit of slowness above the usual one. A target that takes 2.5 times the
+	// usual time is chosen after one with half of its slots taken, as it may be so for a moment only.
+	slowCost = 0.3
 )
 
 // LeastRequests picks the candidate with the fewest requests of this entry in flight
@@ -40,15 +43,15 @@
 	mu sync.Mutex
 }
 
-var _ rhubarbgate.Picker = (*LeastRequests)(nil)
+var _ rhubarbgate.RankingPicker = (*LeastRequests)(nil)
 
 // Pick implements rhubarbgate.Picker.
 func (l *LeastRequests) Pick(_ rhubarbgate.PickRequest, c []rhubarbgate.Candidate) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	best, lowest, ties := 0, 0.0, 0
-	for i, x := range c {
-		cost := l.cost(x)
+	for i := range c {
+		cost := l.cost(&c[i])
 		switch {
 		case i == 0 || cost < lowest:
 			best, lowest, ties = i, cost, 1
@@ -62,8 +65,38 @@
 	return best
 }
 
+// Rank implements rhubarbgate.RankingPicker. It inserts each candidate into the best ones found so far,
+// in random order among those of equal cost.
+func (l *LeastRequests) Rank(_ rhubarbgate.PickRequest, c []rhubarbgate.Candidate, best []int) int {
+	var costs [maxRanked]float64
+	var keys [maxRanked]uint64
+	best = best[:min(len(best), maxRanked)]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for i := range c {
+		cost, key := l.cost(&c[i]), l.Random.Uint64()
+		at := n
+		for at > 0 && (cost < costs[at-1] || cost == costs[at-1] && key < keys[at-1]) {
+			at--
+		}
+		if at == len(best) {
+			continue
+		}
+		n = min(n+1, len(best))
+		copy(best[at+1:n], best[at:n-1])
+		copy(costs[at+1:n], costs[at:n-1])
+		copy(keys[at+1:n], keys[at:n-1])
+		best[at], costs[at], keys[at] = i, cost, key
+	}
+	return n
+}
+
+// maxRanked bounds the candidates that Rank returns.
+const maxRanked = 16
+
 // cost returns the cost of the candidate in requests.
-func (l *LeastRequests) cost(c rhubarbgate.Candidate) float64 {
+func (l *LeastRequests) cost(c *rhubarbgate.Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
 	connect := connectCost
 	if c.Connected {
@@ -73,5 +106,6 @@
 	if c.Limited {
 		limited = limitedCost
 	}
-	return connect + limited + float64(c.InFlight) + queuedCost*float64(c.Queued) + occupiedCost*float64(c.Reported)/slots + distanceCost*float64(c.Distance-1)
+	slow := slowCost * max(0, c.Slowness-1)
+	return connect + limited + slow + float64(c.InFlight) + queuedCost*float64(c.Queued) + occupiedCost*float64(c.Reported)/slots + distanceCost*float64(c.Distance-1)
 }
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -20,11 +20,13 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
+	"rhubarbgate.example/rhubarbgate/internal/controller/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
+	policy "rhubarbgate.example/rhubarbgate/internal/policy/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
 	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -52,6 +54,10 @@
 	// SidePort is the port at which the side of a target listens, on the target's host; 0
 	// means that sides are not asked about their targets.
 	SidePort uint16
+	// Asks, if set, is the UDP socket from which sides are asked for free slots, if SidePort is set.
+	Asks reserve.Conn
+	// Features are the optional parts that the deployment enables.
+	Features rhubarbgate.Features
 	// MaxAge is the age of the configuration past which the entry is not ready and
 	// refuses requests that need a caller's key.
 	MaxAge time.Duration
@@ -96,6 +102,17 @@
 	return t
 }
 
+// reservations returns the client that asks sides for free slots, or nil without a socket.
+func (d *Direct) reservations(p rhubarbgate.RankingPicker) *reserve.Client {
+	if d.Asks == nil || d.SidePort == 0 {
+		return nil
+	}
+	return &reserve.Client{
+		Conn: d.Asks, Port: d.SidePort, Demand: &policy.Demand{Clock: d.Clock, Always: d.Features.ContendedCapacity}, Picker: p,
+		Clock: d.Clock, Random: derivedRandom(d.Random, 4), Logger: d.Logger, Counts: reserve.NewClientCounters(d.Metrics),
+	}
+}
+
 // Run serves until ctx ends or a listener fails. When ctx ends, it finishes the
 // requests in flight and stops.
 func (d *Direct) Run(ctx context.Context) error {
@@ -126,9 +143,10 @@
 		Groups: watcher.Groups, Exchanges: newCounter(d.Metrics, "LimitExchanges"),
 	}
 	exchange.Start()
+	picker := &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}
 	d.server = &ingress.Server{
 		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Limits: keeper, Streams: origins, Stores: stores,
-		Picker: &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
+		Picker: picker, Reservations: d.reservations(picker), Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
 	d.server.Prepare()
@@ -141,6 +159,9 @@
 	tasks.Go(func() { keeper.Run(work) })
 	tasks.Go(func() { origins.Run(work) })
 	tasks.Go(func() { exchange.Run(work) })
+	if d.server.Reservations != nil {
+		tasks.Go(func() { d.server.Reservations.Run(work) })
+	}
 	tasks.Go(func() { served <- d.server.Serve(d.Listener) })
 	tasks.Go(func() { served <- d.server.ServeReadiness(d.Readiness) })
 	var err error
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -22,6 +22,9 @@
 	busyProbeInterval = 20 * time.Millisecond
 	// idleProbeInterval is the interval of load probes without items.
 	idleProbeInterval = 100 * time.Millisecond
+	// askedProbeInterval is the interval of load probes without items while entries ask for free slots:
+	// the lag of a report, below which more probes show little more.
+	askedProbeInterval = 50 * time.Millisecond
 	// loadProbeTimeout bounds one load probe.
 	loadProbeTimeout = 500 * time.Millisecond
 )
@@ -45,6 +48,9 @@
 	tasks.Go(func() { h.crashes.Run(work) })
 	tasks.Go(func() { h.limits.Run(work) })
 	tasks.Go(func() { h.pollLoad(work) })
+	if h.reservations != nil {
+		tasks.Go(func() { h.reservations.Run(work) })
+	}
 	tasks.Go(func() { h.worker.run(batch) })
 	<-ctx.Done()
 	h.drain(stopBatch)
@@ -68,8 +74,11 @@
 	for ctx.Err() == nil {
 		h.probeLoad(ctx)
 		interval := idleProbeInterval
-		if h.worker.hasTasks() {
+		switch {
+		case h.worker.hasTasks():
 			interval = busyProbeInterval
+		case h.reservations.Asked():
+			interval = askedProbeInterval
 		}
 		select {
 		case <-ctx.Done():
@@ -82,17 +91,20 @@
 	ctx, cancel := context.WithTimeout(ctx, loadProbeTimeout)
 	defer cancel()
 	sent := h.Clock.Now()
+	items := h.keeper.Load().Batch
 	l, err := h.Probe.Load(ctx)
 	if err != nil {
 		if !h.targetDown.Load() {
 			h.Logger.WithError(err).Warn("cannot read the load of the target")
 		}
 		h.setTargetDown(true)
+		h.reservations.LoadLost()
 		h.keeper.LoadLost()
 		return
 	}
 	h.presence.Observe(sent)
 	h.setTargetDown(false)
+	h.reservations.ObserveLoad(l, sent, items)
 	h.keeper.ObserveLoad(l)
 }
 
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -22,9 +22,11 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
+	"rhubarbgate.example/rhubarbgate/internal/controller/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
+	policy "rhubarbgate.example/rhubarbgate/internal/policy/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -95,6 +97,8 @@
 	// EntryLag is how long a leaving side keeps serving, because entries may not have
 	// received the report that it is leaving.
 	EntryLag time.Duration
+	// Asks, if set, is the UDP socket on which entries ask for free slots of the target, if Probe is set.
+	Asks reserve.Conn
 	// AddressReuseDelay is how long the platform leaves an address unused before a target of another
 	// service gets it, if Probe is set; 0 means that it is not known.
 	AddressReuseDelay time.Duration
@@ -109,6 +113,7 @@
 	crashes        *crashes.Recorder    // nil without a Probe
 	limits         *targetlimits.Keeper // nil without a Probe
 	presence       *discovery.Presence  // nil without a Probe
+	reservations   *reserve.Server      // nil without Asks
 	leaving        atomic.Bool
 	targetDown     atomic.Bool
 	activeRequests atomic.Int64
@@ -216,6 +221,13 @@
 		h.targetClient.IDHeader, h.targetClient.OnStray = h.Dialect.IDHeader(), h.recordStray
 	}
 	h.worker = newWorker(h)
+	if h.Probe != nil && h.Asks != nil {
+		h.reservations = &reserve.Server{
+			Conn: h.Asks, Target: h.Target, Ledger: &policy.Ledger{Clock: h.Clock, Slots: h.Slots},
+			Items: func() int { return h.keeper.Load().Batch }, OnReserved: h.keeper.ObserveReserved,
+			Clock: h.Clock, Logger: h.Logger, Counts: reserve.NewServerCounters(h.Metrics),
+		}
+	}
 }
 
 // recordStray records a response out of turn of the target.
--- a/picker.go
+++ b/picker.go
@@ -28,6 +28,9 @@
 	Connected bool
 	// Limited says that the target states a limit, of which this entry has a token left.
 	Limited bool
+	// Slowness is the time that work takes at the target now, relative to the usual time, as of its last
+	// report; 0 means that it does not state it.
+	Slowness float64
 	// Latency is this entry's moving average of the target's latency: the time to the
 	// first data of a response and, for streams, the gaps between tokens.
 	Latency time.Duration
@@ -46,3 +49,11 @@
 	// Pick returns the index of the chosen candidate. The slice is not empty.
 	Pick(r PickRequest, c []Candidate) int
 }
+
+// RankingPicker is a Picker that names several candidates.
+type RankingPicker interface {
+	Picker
+	// Rank writes the indexes of the best candidates into best, beginning with one that Pick may choose,
+	// and returns their number, at most len(best).
+	Rank(r PickRequest, c []Candidate, best []int) int
+}
