--- a/internal/policy/admission/policy.go
+++ b/internal/policy/admission/policy.go
@@ -3,14 +3,14 @@
 //
 // The caller of the package reports each request in this order:
 //
-//	d := p.Admit(r)           // once, before the request is first sent
-//	p.Begin(r)                // when it is sent; again for each retry or copy
+//	d := p.Admit(r)           // before the request is first sent
+//	p.Begin(r)                // if d.Send, when it is sent
 //	p.FirstEvent(r, elapsed)  // at the first event of a stream or the head of another response
 //	p.End(r, elapsed)         // exactly once for each Begin, whatever the outcome
 //
-// Elapsed counts from Begin. A request that has been sent once may be sent again without
-// Admit. The strings of r may be reused after each call. Admit, Begin, FirstEvent and End
-// allocate nothing once service and workspace are known.
+// Elapsed counts from the sending to the target for FirstEvent, and from Begin for End. A request
+// that has been sent once may be sent again without Admit and Begin. The strings of r may be reused
+// after each call. The four calls allocate nothing once service and workspace are known.
 package admission
 
 import (
@@ -34,9 +34,8 @@
 	// minRoomShare is the least share of the objective that is left for waiting. A service
 	// that usually misses its objective would otherwise never be queued for.
 	minRoomShare = 0.1
-	// rankStep is the part of the allowed wait that each rank below 0 loses, down to
-	// minRankShare.
-	rankStep     = 0.4
+	// minRankShare is the part of the allowed wait that the lowest ranks keep. The rest of it falls
+	// with 1/(rank+1), because ranks may be a few or combine two priorities into large numbers.
 	minRankShare = 0.25
 	// usualSmoothing is the weight of a sample in the averages of usual times.
 	usualSmoothing = 0.05
@@ -80,7 +79,10 @@
 	start    time.Time // of the first call; times of the state count from it
 }
 
-var _ rhubarbgate.Admission = (*Policy)(nil)
+var (
+	_ rhubarbgate.Admission         = (*Policy)(nil)
+	_ rhubarbgate.AdmissionFeedback = (*Policy)(nil)
+)
 
 // service returns the state of a service, brought up to date. The caller holds mu.
 func (p *Policy) service(name string) (*service, time.Duration) {
@@ -89,6 +91,7 @@
 	if s == nil {
 		s = p.addService(name, now)
 	}
+	s.lastSeen = now
 	s.advance(now)
 	return s, now
 }
@@ -157,11 +160,11 @@
 
 // allowances returns the parts of the allowed wait that rank and recent use leave.
 func (s *service) allowances(w *workspace, r rhubarbgate.AdmissionRequest, now time.Duration) (rankShare, share float64) {
-	rankShare, share = max(1-rankStep*float64(max(r.Rank, 0)), minRankShare), 1
+	rankShare, share = minRankShare+(1-minRankShare)/float64(max(r.Rank, 0)+1), 1
 	if w.inFlight > 0 {
 		share = s.useAllowance(w, now)
 	}
-	if s.ranks[rankIndex(r.Rank)].starved(now, starvedAfter) || w.inFlight == 0 && w.starved(now, starvedAfter) {
+	if s.rank(r.Rank).starved(now, starvedAfter) || w.inFlight == 0 && w.starved(now, starvedAfter) {
 		rankShare = 1
 	}
 	return rankShare, share
@@ -220,7 +223,7 @@
 	return true
 }
 
-// Begin records that a request is sent.
+// Begin implements rhubarbgate.AdmissionFeedback.
 func (p *Policy) Begin(r rhubarbgate.AdmissionRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -228,7 +231,7 @@
 	s.workspace(r, now).inFlight++
 }
 
-// FirstEvent records the first event of a stream, or the head of another response.
+// FirstEvent implements rhubarbgate.AdmissionFeedback.
 func (p *Policy) FirstEvent(r rhubarbgate.AdmissionRequest, elapsed time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -236,7 +239,7 @@
 	s.recordFirstEvent(r, elapsed, now)
 }
 
-// End records that a request that began has ended.
+// End implements rhubarbgate.AdmissionFeedback.
 func (p *Policy) End(r rhubarbgate.AdmissionRequest, elapsed time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/policy/admission/service.go
+++ b/internal/policy/admission/service.go
@@ -24,8 +24,8 @@
 	maxServices = 256
 	// serviceExpiry is the time without a request after which a service is forgotten.
 	serviceExpiry = 10 * time.Minute
-	// rankCount is the number of ranks that are told apart; lower ones count as the last.
-	rankCount = 8
+	// maxRanks bounds the ranks with a state of their own; further ones share the last.
+	maxRanks = 16
 )
 
 // refusals is since when a workspace or rank is refused without any request of it being sent.
@@ -51,6 +51,7 @@
 // rankState is the state of one rank.
 type rankState struct {
 	refusals
+	rank               int
 	sent, refusedTotal uint64
 }
 
@@ -61,8 +62,9 @@
 	shares
 	wave
 
-	ranks    [rankCount]rankState
-	outcomes [outcomeCount]uint64
+	ranks     [maxRanks]rankState
+	rankCount int // of ranks
+	outcomes  [outcomeCount]uint64
 	// withoutRetry counts the refusals that state no time for a retry.
 	withoutRetry uint64
 
@@ -102,7 +104,6 @@
 
 // advance closes the buckets that have passed.
 func (s *service) advance(now time.Duration) {
-	s.lastSeen = now
 	current := int64(now / bucketLength)
 	if current-s.wave.current > ringSize {
 		s.wave.clear(current)
@@ -151,7 +152,7 @@
 func (s *service) recordSent(w *workspace, r rhubarbgate.AdmissionRequest, now time.Duration) {
 	w.recordUse(now)
 	w.refused = false
-	rank := &s.ranks[rankIndex(r.Rank)]
+	rank := s.rank(r.Rank)
 	rank.refused = false
 	rank.sent++
 	s.guaranteeBalance = min(s.guaranteeBalance+guaranteedShare, maxGuaranteed)
@@ -161,7 +162,7 @@
 func (s *service) recordRefused(w *workspace, r rhubarbgate.AdmissionRequest, now time.Duration) {
 	w.refuse(now)
 	w.refusedTotal++
-	rank := &s.ranks[rankIndex(r.Rank)]
+	rank := s.rank(r.Rank)
 	rank.refuse(now)
 	rank.refusedTotal++
 }
@@ -209,8 +210,20 @@
 	return average + usualSmoothing*(x-average)
 }
 
-// rankIndex returns the index of a rank's state.
-func rankIndex(rank int) int { return min(max(rank, 0), rankCount-1) }
+// rank returns the state of a rank.
+func (s *service) rank(rank int) *rankState {
+	for i := range s.ranks[:s.rankCount] {
+		if s.ranks[i].rank == rank {
+			return &s.ranks[i]
+		}
+	}
+	if s.rankCount == maxRanks {
+		return &s.ranks[maxRanks-1]
+	}
+	s.rankCount++
+	s.ranks[s.rankCount-1].rank = rank
+	return &s.ranks[s.rankCount-1]
+}
 
 // seconds converts a number of seconds.
 func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
--- a/internal/policy/admission/wave.go
+++ b/internal/policy/admission/wave.go
@@ -32,8 +32,11 @@
 	// forecastPeriods is how many past periods the forecast averages. Errors of the period add up
 	// over more.
 	forecastPeriods = 3
-	// learnInterval is how long a learnt period is used, in buckets.
-	learnInterval = 5
+	// learnInterval is how long a learnt wave is used, in buckets. A search takes about as long as 20
+	// decisions.
+	learnInterval = 10
+	// horizon is the length of the forecast in buckets, beginning when it is learnt.
+	horizon = maxPeriod + learnInterval
 	// fillShare is the share of the room that refused callers are told to return into before
 	// later room is used. The rest absorbs errors of the forecast.
 	fillShare = 0.8
@@ -61,6 +64,8 @@
 	learnt   bool
 	period   int // in buckets; 0 means that there is no clear wave
 	smoothed [historyBuckets]float32
+	// forecast is the demand expected in the buckets from learntAt on.
+	forecast [horizon]float32
 }
 
 // slot returns the index of a bucket in the rings.
@@ -112,7 +117,7 @@
 		// The part of a place that early buckets lack is carried to the next ones.
 		carried := 0.0
 		for b := from; b < to; b++ {
-			room := max(w.served-w.forecast(b), 0)*share - float64(w.promised[slot(b)])
+			room := max(w.served-float64(w.forecast[b-w.learntAt]), 0)*share - float64(w.promised[slot(b)])
 			carried = min(carried+room, w.served)
 			if carried >= 1 {
 				w.promised[slot(b)]++
@@ -125,26 +130,18 @@
 	return 0
 }
 
-// forecast returns the demand that is expected in a bucket after now: the mean of the same phase
-// in past periods.
-func (w *wave) forecast(bucket int64) float64 {
-	sum, n := 0.0, 0
-	oldest := w.learntAt - historyBuckets
-	for b := bucket - int64(w.period); n < forecastPeriods; b -= int64(w.period) {
-		i := b - oldest
-		if i >= historyBuckets {
-			continue
-		}
-		if i < 0 || b < w.first {
-			break
+// predict fills the forecast: the mean of the same phase in past periods.
+func (w *wave) predict(length int) {
+	for i := range w.forecast {
+		sum, n := float32(0), 0
+		for past := historyBuckets + i - w.period; past >= historyBuckets-length && n < forecastPeriods; past -= w.period {
+			if past < historyBuckets {
+				sum += w.smoothed[past]
+				n++
+			}
 		}
-		sum += float64(w.smoothed[i])
-		n++
-	}
-	if n == 0 {
-		return 0
+		w.forecast[i] = sum / float32(max(n, 1))
 	}
-	return sum / float64(n)
 }
 
 // learn searches for the period of the wave, at most once in learnInterval.
@@ -159,6 +156,9 @@
 	}
 	w.smooth(length)
 	w.period = findPeriod(w.smoothed[historyBuckets-length:])
+	if w.period > 0 {
+		w.predict(length)
+	}
 }
 
 // smooth fills the last buckets of smoothed, up to the one before the current bucket, with a
@@ -180,13 +180,42 @@
 // findPeriod returns the period in buckets with the highest autocorrelation, or 0 if none is
 // clear.
 func findPeriod(x []float32) int {
-	var correlations [maxPeriod + 2]float64
+	var sums, squares [historyBuckets + 1]float64
+	for i, v := range x {
+		sums[i+1] = sums[i] + float64(v)
+		squares[i+1] = squares[i] + float64(v)*float64(v)
+	}
+	// correlation returns Pearson's correlation of the series with itself, lag buckets later.
+	correlation := func(lag int) float64 {
+		later, earlier := x[lag:], x[:len(x)-lag]
+		// Four sums are independent of each other, so that their additions overlap.
+		var a, b, c, d float32
+		i := 0
+		for ; i+4 <= len(later); i += 4 {
+			x, y := later[i:i+4:i+4], earlier[i:i+4:i+4]
+			a += x[0] * y[0]
+			b += x[1] * y[1]
+			c += x[2] * y[2]
+			d += x[3] * y[3]
+		}
+		for ; i < len(later); i++ {
+			a += later[i] * earlier[i]
+		}
+		product := a + b + c + d
+		n := float64(len(later))
+		sumLater, sumEarlier := sums[len(x)]-sums[lag], sums[len(x)-lag]
+		variance := (squares[len(x)] - squares[lag] - sumLater*sumLater/n) * (squares[len(x)-lag] - sumEarlier*sumEarlier/n)
+		if variance <= 0 {
+			return 0
+		}
+		return (float64(product) - sumLater*sumEarlier/n) / math.Sqrt(variance)
+	}
 	// Two whole periods must be in the history.
 	longest := min(maxPeriod, len(x)/2)
-	lowest := math.Inf(1)
-	highest := 0.0
-	for lag := smoothBuckets; lag <= min(longest+1, len(x)-1); lag++ {
-		c := correlation(x[lag:], x[:len(x)-lag])
+	var correlations [maxPeriod + 2]float64
+	lowest, highest := math.Inf(1), 0.0
+	for lag := smoothBuckets; lag <= longest+1; lag++ {
+		c := correlation(lag)
 		correlations[lag] = c
 		if lag < minPeriod {
 			lowest = min(lowest, c)
@@ -207,22 +236,3 @@
 	}
 	return 0
 }
-
-// correlation returns Pearson's correlation of two series of the same length.
-func correlation(x, y []float32) float64 {
-	n := float64(len(x))
-	var sx, sy, sxx, syy, sxy float64
-	for i, a := range x {
-		a, b := float64(a), float64(y[i])
-		sx += a
-		sy += b
-		sxx += a * a
-		syy += b * b
-		sxy += a * b
-	}
-	vx, vy := sxx-sx*sx/n, syy-sy*sy/n
-	if vx <= 0 || vy <= 0 {
-		return 0
-	}
-	return (sxy - sx*sy/n) / math.Sqrt(vx*vy)
-}
