admission, ingress: the policy is told of the requests that it admitted, and entries use it

Joins the asking of sides with the admission policy: one feedback interface, by request. Tests of ingress and of the policies pass; TestRequestsLateInTheGrace failed once beside other suites (load 20 to 30) and is to be traced.

--- a/contended.go
+++ b/contended.go
@@ -59,13 +59,14 @@
 	Reason     string
 }
 
-// AdmissionFeedback is implemented by an Admission that learns from what becomes of requests.
+// AdmissionFeedback is implemented by an Admission that learns from what becomes of requests. The
+// request is the one that Admit was called with.
 type AdmissionFeedback interface {
-	// RecordFirstEvent records the time from the sending of a request for contended capacity to the
-	// first event of its response.
-	RecordFirstEvent(service string, took time.Duration)
-	// RecordBegun records that a request of a workspace for contended capacity is sent for the first time,
-	// and RecordEnded that it ended. Each RecordBegun is followed by one RecordEnded.
-	RecordBegun(workspace string)
-	RecordEnded(workspace string)
+	// Begin records that a request is sent for the first time, and End that it is over,
+	// whatever its outcome. Each Begin is followed by one End; elapsed counts from Begin.
+	Begin(r AdmissionRequest)
+	End(r AdmissionRequest, elapsed time.Duration)
+	// FirstEvent records the first event of a stream, or the head of another response.
+	// Elapsed counts from the sending to the target that responds.
+	FirstEvent(r AdmissionRequest, elapsed time.Duration)
 }
--- a/internal/http/ingress/contention.go
+++ b/internal/http/ingress/contention.go
@@ -75,9 +75,9 @@
 		return notRun(rhubarbgate.CodeOverloaded, "service %q has no slot in time: %s; expected wait %v (known: %t), %d offers, %.2f of their slots taken, rank %d",
 			q.service, d.Reason, r.Wait, r.Known, len(q.offered.Choice.Offers()), r.Busy, r.Rank).WithRetryAfter(cmp.Or(d.RetryAfter, noTargetRetryAfter))
 	}
-	if s.feedback != nil && !x.admitted {
-		x.admitted = true
-		s.feedback.RecordBegun(x.Workspace)
+	if s.feedback != nil && x.admitted.Service == "" {
+		x.admitted, x.admittedAt = r, s.Clock.Now()
+		s.feedback.Begin(r)
 	}
 	return nil
 }
@@ -92,16 +92,16 @@
 
 // recordEnded tells the admission policy that the request of an exchange ended.
 func (s *Server) recordEnded(x *Exchange) {
-	if x.admitted {
-		x.admitted = false
-		s.feedback.RecordEnded(x.Workspace)
+	if x.admitted.Service != "" {
+		s.feedback.End(x.admitted, s.Clock.Since(x.admittedAt))
+		x.admitted.Service = ""
 	}
 }
 
 // observeFirstEvent tells the admission policy how long the first event of a stream took.
 func (a *attempt) observeFirstEvent() {
-	if a.contended && a.server.feedback != nil {
-		a.server.feedback.RecordFirstEvent(a.service, a.server.Clock.Since(a.sent))
+	if a.contended && a.x.admitted.Service != "" {
+		a.server.feedback.FirstEvent(a.x.admitted, a.server.Clock.Since(a.sent))
 	}
 }
 
--- a/internal/http/ingress/exchange.go
+++ b/internal/http/ingress/exchange.go
@@ -37,8 +37,10 @@
 	// for trial.
 	trial bool
 
-	// admitted says that the admission policy was told that the request began.
-	admitted bool
+	// admitted is the request with which the admission policy was told at admittedAt that the request
+	// began. Its Service is empty if it was not told so, or was told that the request ended.
+	admitted   rhubarbgate.AdmissionRequest
+	admittedAt time.Time
 
 	content string // cache of contentPart
 
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -24,6 +24,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
+	"rhubarbgate.example/rhubarbgate/internal/policy/admission"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
 	policy "rhubarbgate.example/rhubarbgate/internal/policy/reserve"
@@ -143,10 +144,12 @@
 		Groups: watcher.Groups, Exchanges: newCounter(d.Metrics, "LimitExchanges"),
 	}
 	exchange.Start()
+	room := &admission.Policy{Clock: d.Clock, Random: derivedRandom(d.Random, 5), Logger: d.Logger}
+	d.Metrics.Set("Room", expvar.Func(func() any { return room.Snapshot() }))
 	picker := &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}
 	d.server = &ingress.Server{
 		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Limits: keeper, Streams: origins, Stores: stores,
-		Picker: picker, Reservations: d.reservations(picker), Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
+		Picker: picker, Reservations: d.reservations(picker), Admission: room, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
 	d.server.Prepare()
