--- a/internal/rpc/side/datagram.go
+++ b/internal/rpc/side/datagram.go
@@ -26,7 +26,7 @@
 	Reserve
 )
 
-// MaxDatagramBytes bounds a datagram. The longest one that is sent has about 100 bytes.
+// MaxDatagramBytes bounds a datagram. The longest one that is sent has fewer than 100 bytes.
 const MaxDatagramBytes = 512
 
 // Datagram is a message between an entry and a side over UDP. It is one array in MessagePack: kind, nonce,
