--- a/internal/command/rhubarbgate/direct_test.go
+++ b/internal/command/rhubarbgate/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/apex/log"
@@ -25,3 +26,16 @@
 	qt.Assert(t, second != nil, qt.IsTrue)
 	qt.Assert(t, second.Close(), qt.IsNil)
 }
+
+// TestFeaturesMayBeEmpty guards against a process that does not start because its deployment has no contracts, so
+// that the value of the flag is empty.
+func TestFeaturesMayBeEmpty(t *testing.T) {
+	for _, role := range []string{"entry", "side"} {
+		for _, features := range []string{"--features=", "--features=pressure,unknown"} {
+			code, _, errs := run(role, features, "--target-list", "nowhere")
+			qt.Assert(t, code, qt.Equals, exitUsage)
+			qt.Assert(t, errs, qt.Contains, "--target-list")
+			qt.Assert(t, strings.Contains(errs, "--features"), qt.IsFalse, qt.Commentf("%s", errs))
+		}
+	}
+}
--- a/internal/controller/reserve/client.go
+++ b/internal/controller/reserve/client.go
@@ -346,7 +346,6 @@
 func (c *Client) await(ctx context.Context, x *exchange, service string, candidates []rhubarbgate.Candidate) {
 	t := c.Clock.NewTimer(roundTimeout)
 	defer t.Stop()
-	left := askTimeout
 	wait := roundTimeout
 	began := c.Clock.Now()
 	for {
@@ -361,7 +360,7 @@
 		c.mu.Lock()
 		decided, more, free := x.choice.Decided(), x.choice.MayAskMore(), x.choice.Free()
 		c.mu.Unlock()
-		left = askTimeout - c.Clock.Since(began)
+		left := askTimeout - c.Clock.Since(began)
 		switch {
 		case left <= 0 || ended && (free || wait > roundTimeout):
 			return
