evacuation: a zone's evacuation is replicated, distributed, and followed by entries and sides

Cause: operators need to take all traffic off the targets of an availability zone. Change: orders are entries of the fleet group's log; the set of evacuated zones has a version and travels with polls and registrations. Entries leave out the targets of evacuated zones. Sides there lease nothing, return what they hold, preempt running items and stop probing.

--- a/internal/command/rhubarbgate/root.go
+++ b/internal/command/rhubarbgate/root.go
@@ -66,7 +66,7 @@
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{[]string{err.Error()}} })
 	c.AddCommand(
 		newControl(), newStore(), newEntry(), newSide(), newDev(), newStandin(), newLoad(), newSoak(),
-		newBundle(), newJob(), newStatus(), newMember(), newQuarantine(), newReport(), newCertificate(), newKey(),
+		newBundle(), newJob(), newStatus(), newMember(), newQuarantine(), newZone(), newReport(), newCertificate(), newKey(),
 	)
 	return c
 }
--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
@@ -29,8 +30,8 @@
 	// longer kept.
 	Since(version uint64) ([]rhubarbgate.Bundle, bool)
 	// Changed returns a channel that is closed at the next change of the
-	// configuration, the list of targets, the quarantine or the target limits, or when the
-	// backlog gains a need.
+	// configuration, the list of targets, the quarantine, the target limits or the evacuated
+	// zones, or when the backlog gains a need.
 	Changed() <-chan struct{}
 	// Groups returns the number of job groups, 0 while it is unknown.
 	Groups() int
@@ -44,6 +45,8 @@
 	Quarantine(now time.Time) control.Quarantine
 	// TargetLimits returns the targets that state a limit.
 	TargetLimits() control.TargetLimits
+	// Evacuation returns the evacuated zones, as old as the configuration at most.
+	Evacuation() evacuation.Set
 }
 
 // Register serves polls of other daemons from s.
@@ -58,7 +61,8 @@
 func replyToPoll(ctx context.Context, s Source, clock clockwork.Clock, p *control.Poll) *control.PollReply {
 	changed, receivedAt := s.Changed(), clock.Now()
 	list, _ := s.Targets()
-	newer := s.Quarantine(receivedAt).Version.NewerThan(p.Quarantine) || s.TargetLimits().Version.NewerThan(p.Limits)
+	newer := s.Quarantine(receivedAt).Version.NewerThan(p.Quarantine) || s.TargetLimits().Version.NewerThan(p.Limits) ||
+		p.Evacuation != nil && s.Evacuation().Version > *p.Evacuation
 	if s.Current().Version <= p.Version && list.Digest == p.Targets && !newer && p.Wait > 0 {
 		t := clock.NewTimer(min(p.Wait, maxPollHold))
 		defer t.Stop()
@@ -77,6 +81,9 @@
 	r.Targets = TargetListReply(s, now, p.Targets)
 	r.Quarantine = QuarantineReply(s, now, p.Quarantine)
 	r.Limits = TargetLimitsReply(s, p.Limits)
+	if p.Evacuation != nil {
+		r.Evacuation = EvacuationReply(s, *p.Evacuation)
+	}
 	if c.Version <= p.Version {
 		return r
 	}
@@ -127,6 +134,16 @@
 	return &l
 }
 
+// EvacuationReply returns the evacuated zones, or nil unless they are newer than the version that the
+// process that asks holds.
+func EvacuationReply(s Source, held uint64) *evacuation.Set {
+	e := s.Evacuation()
+	if e.Version <= held {
+		return nil
+	}
+	return &e
+}
+
 // Notifier signals events by closing a channel that all waiting goroutines share.
 type Notifier struct {
 	mu sync.Mutex
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
@@ -58,6 +59,9 @@
 	OnQuarantine func(q control.Quarantine, at time.Time)
 	// OnTargetLimits, if set, is called with newer target limits.
 	OnTargetLimits func(l control.TargetLimits)
+	// OnEvacuation, if set, is called with newer evacuated zones and the time at which they were
+	// known to be the newest.
+	OnEvacuation func(s evacuation.Set, at time.Time)
 
 	mu                 sync.RWMutex
 	current            *config.Config
@@ -71,6 +75,7 @@
 	quarantine         control.Quarantine // as of quarantineAt
 	quarantineAt       time.Time
 	targetLimits       control.TargetLimits
+	evacuation         evacuation.Set
 	needsFull          bool
 	notifier           Notifier
 }
@@ -128,9 +133,11 @@
 // poll polls one parent and reports whether to keep polling it.
 func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort) bool {
 	list, _ := w.Targets()
+	evacuationVersion := w.Evacuation().Version
 	p := &control.Poll{
 		Version: w.pollVersion(), Wait: pollHold, Targets: list.Digest,
 		Quarantine: w.Quarantine(w.Clock.Now()).Version, Limits: w.TargetLimits().Version,
+		Evacuation: &evacuationVersion,
 	}
 	if w.Groups() == 0 {
 		p.Wait = 0
@@ -174,6 +181,7 @@
 	targetsChanged := w.applyTargets(r.Targets, repliedAt)
 	quarantineChanged := w.applyQuarantine(r.Quarantine, repliedAt)
 	limitsChanged := w.applyTargetLimits(r.Limits)
+	evacuationChanged := w.applyEvacuation(r.Evacuation, repliedAt.Add(-r.Age))
 	if len(r.Peers.Controls) > 0 {
 		w.peers = r.Peers
 		if w.OnPeers != nil {
@@ -189,7 +197,7 @@
 	if changed && w.OnApplied != nil {
 		w.OnApplied(w.current)
 	}
-	if changed || newNeeds || targetsChanged || quarantineChanged || limitsChanged {
+	if changed || newNeeds || targetsChanged || quarantineChanged || limitsChanged || evacuationChanged {
 		w.notifier.Notify()
 	}
 	return r.Age < maxParentAge
@@ -256,6 +264,26 @@
 	return w.targetLimits
 }
 
+// applyEvacuation applies evacuated zones that are newer than the current ones, and reports whether
+// they were. The lock is held.
+func (w *Watcher) applyEvacuation(s *evacuation.Set, at time.Time) bool {
+	if s == nil || s.Version <= w.evacuation.Version {
+		return false
+	}
+	w.evacuation = *s
+	if w.OnEvacuation != nil {
+		w.OnEvacuation(*s, at)
+	}
+	return true
+}
+
+// Evacuation implements Source.
+func (w *Watcher) Evacuation() evacuation.Set {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.evacuation
+}
+
 // Targets implements Source.
 func (w *Watcher) Targets() (control.TargetList, time.Time) {
 	w.mu.RLock()
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -20,6 +20,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/targets"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/policy/health"
 	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
 )
@@ -81,6 +82,7 @@
 	ejector         health.Ejector
 	confirming      singleflight.Group // calls of Continuity, by instance and address
 	checkingEnd     singleflight.Group // connection attempts of HasEnded, by name of the target
+	evacuated       atomic.Pointer[evacuation.Set]
 	once            sync.Once
 	mu              sync.RWMutex
 	targets         map[targetKey]*Target
@@ -402,16 +404,17 @@
 }
 
 // Candidates returns the targets of a service that may run a request, and for each
-// what the choice between them needs. It leaves out leaving targets, those whose address
-// another instance has, those in tried, and ejected ones unless too many are ejected. Targets that are down are left out as long as
+// what the choice between them needs. It leaves out leaving targets, those in evacuated zones, those whose
+// address another instance has, those in tried, and ejected ones unless too many are ejected. Targets that are down are left out as long as
 // there are others, but one attempt of a request may try one of them again after a while.
 func (t *Table) Candidates(service string, idempotent bool, tried []*Target) ([]*Target, []rhubarbgate.Candidate) {
 	t.initialize()
 	now := t.Clock.Now()
+	evacuated := t.Evacuation()
 	var list, down []*Target
 	t.mu.RLock()
 	for _, x := range t.targets {
-		if x.Instance.Service != service || x.isLeaving() || x.isReplaced(now) || slices.Contains(tried, x) {
+		if x.Instance.Service != service || evacuated.Has(x.Instance.AvailabilityZone) || x.isLeaving() || x.isReplaced(now) || slices.Contains(tried, x) {
 			continue
 		}
 		if isDown, refused := x.isDown(now); isDown && (len(tried) > 0 || refused < downRetryInterval) {
--- a/internal/controller/targets/table.go
+++ b/internal/controller/targets/table.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/policy/health"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -60,6 +61,8 @@
 	// Ejections counts the ejections of targets after failures.
 	Ejections *expvar.Int
 
+	evacuated atomic.Pointer[evacuation.Set]
+
 	ejector health.Ejector
 	mu      sync.RWMutex
 	targets map[string]*targetState
@@ -193,17 +196,18 @@
 }
 
 // Candidates returns the targets that may serve a model, or a route if one is given.
-// It leaves out leaving targets and those named in tried. Targets without a recent
+// It leaves out leaving targets, those in evacuated zones and those named in tried. Targets without a recent
 // report and those whose engine is down are used only if no other is left; ejected
 // ones only if too many are ejected.
 func (t *Table) Candidates(model, route string, tried map[string]bool) []rhubarbgate.Candidate {
 	now := t.Clock.Now()
+	evacuated := t.Evacuation()
 	var reporting, notReporting []rhubarbgate.Candidate
 	t.mu.RLock()
 	for name, s := range t.targets {
 		x := s.target.Load()
 		r := s.report.Load()
-		if tried[name] || x.Leaving || t.leaving[x.Address.Addr()] || (r != nil && r.Leaving) || !serves(x, model, route) {
+		if tried[name] || x.Leaving || evacuated.Has(x.AvailabilityZone) || t.leaving[x.Address.Addr()] || (r != nil && r.Leaving) || !serves(x, model, route) {
 			continue
 		}
 		c := t.candidate(x, s, r)
@@ -220,6 +224,37 @@
 	return t.healthy(reporting)
 }
 
+// SetEvacuation replaces the evacuated zones, which were known to be the newest at the given time.
+func (t *Table) SetEvacuation(s evacuation.Set, at time.Time) {
+	last := t.Evacuation()
+	t.evacuated.Store(&s)
+	t.Logger.WithFields(log.Fields{
+		"version": s.Version, "zones": s.String(), "earlier": last.String(), "age": t.Clock.Since(at).String(),
+	}).Info("evacuated zones changed")
+}
+
+// Evacuation returns the evacuated zones.
+func (t *Table) Evacuation() evacuation.Set {
+	if s := t.evacuated.Load(); s != nil {
+		return *s
+	}
+	return evacuation.Set{}
+}
+
+// HasEvacuated reports whether a target that serves the model, or the route if one is given, is in an
+// evacuated zone.
+func (t *Table) HasEvacuated(model, route string) bool {
+	evacuated := t.Evacuation()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, s := range t.targets {
+		if x := s.target.Load(); evacuated.Has(x.AvailabilityZone) && serves(x, model, route) {
+			return true
+		}
+	}
+	return false
+}
+
 // HasReport reports whether a target of the model has reported its load.
 func (t *Table) HasReport(model string) bool {
 	t.mu.RLock()
--- a/internal/http/caller/forward.go
+++ b/internal/http/caller/forward.go
@@ -16,6 +16,9 @@
 // noTargetRetryAfter is the Retry-After when no target can take the request.
 const noTargetRetryAfter = 2 * time.Second
 
+// evacuatedRetryAfter is the Retry-After if all targets are in evacuated zones.
+const evacuatedRetryAfter = time.Second
+
 // forward sends the request to a target. If the attempt fails and mayRetry and the retry
 // budget allow, it sends the request to another target. The error of a failed request
 // has the worst verdict of all attempts.
@@ -46,6 +49,9 @@
 			break
 		}
 	}
+	if last == nil && s.Targets.HasEvacuated(x.Model, x.Route) {
+		return notRun(rhubarbgate.CodeUnavailable, "no target serves %s%s outside the evacuated zones %v", x.Model, x.Route, s.Targets.Evacuation()).WithRetryAfter(evacuatedRetryAfter)
+	}
 	if last == nil {
 		return notRun(rhubarbgate.CodeUnavailable, "no target serves %s%s now", x.Model, x.Route).WithRetryAfter(noTargetRetryAfter)
 	}
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -29,6 +29,8 @@
 	// noTargetRetryAfter is the Retry-After for a service that has no free slot or no
 	// target: about the time for which a request holds a slot.
 	noTargetRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After for a service whose targets are all in evacuated zones.
+	evacuatedRetryAfter = time.Second
 	// maxLimitWait bounds the Retry-After of a request for which all targets are at their limits,
 	// and limitRetryJitter its random part.
 	maxLimitWait     = 2 * time.Second
@@ -208,6 +210,12 @@
 	if retryUnreached {
 		list, candidates = q.ofVersion(s.Targets.Candidates(q.service, x.idempotent(), without(q.tried, q.unreached...)))
 	}
+	if len(list) == 0 && slices.ContainsFunc(s.Targets.Evacuated(q.service), q.mayContinue) {
+		s.Counts.Evacuated.Add(1)
+		e := s.Targets.Evacuation()
+		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target left outside the evacuated zones %v (version %d), %d tried", q.service, e, e.Version, len(q.tried)).
+			WithRetryAfter(evacuatedRetryAfter)
+	}
 	if len(list) == 0 && len(q.tried) == 0 && (q.hasVersion || q.origin != nil) {
 		s.Counts.VersionsGone.Add(1)
 		return nil, notRun(rhubarbgate.CodeOverloaded, "service %q has no target of the version %q, which began the stream", q.service, q.version).WithRetryAfter(versionRetryAfter)
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -84,9 +84,11 @@
 // streams resumed at another target, responses that were truncated, requests that targets
 // refused, callers that disconnected, requests whose handling panicked, requests whose prompts
 // are blocked, and responses that were withheld because their status would promise that nothing ran, and streams that callers
-// take up, and those of them that were refused because of their software version.
+// take up, those of them that were refused because of their software version, and requests that were refused because
+// all targets are in evacuated zones.
 type Counters struct {
-	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises, TakenUp, VersionsGone *expvar.Int
+	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises, TakenUp, VersionsGone,
+	Evacuated *expvar.Int
 }
 
 // NewCounters creates the counters and publishes them in m.
@@ -100,7 +102,7 @@
 		Requests: counter("Requests"), Refused: counter("Refused"), Retries: counter("Retries"), Resumed: counter("Resumed"), TruncatedResponses: counter("AnswersCut"),
 		TargetRefusals: counter("TargetsRefused"), DisconnectedCallers: counter("CallersLeft"),
 		Panics: counter("Panics"), Quarantined: counter("RequestsQuarantined"),
-		UnstatedPromises: counter("UnstatedPromises"), TakenUp: counter("StreamsTakenUp"), VersionsGone: counter("StreamsRefusedByVersion"),
+		UnstatedPromises: counter("UnstatedPromises"), TakenUp: counter("StreamsTakenUp"), VersionsGone: counter("StreamsRefusedByVersion"), Evacuated: counter("RequestsRefusedByEvacuation"),
 	}
 }
 
--- a/internal/http/operator/client.go
+++ b/internal/http/operator/client.go
@@ -12,6 +12,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/http/openai"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/security/reload"
 	"rhubarbgate.example/rhubarbgate/internal/state/burn"
 	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
@@ -145,3 +146,17 @@
 func (c *Client) ChangeMembership(q *MemberRequest) error {
 	return c.do(fasthttp.MethodPost, "/v1/members", q, nil)
 }
+
+// Zones returns the evacuated availability zones.
+func (c *Client) Zones() (evacuation.Set, error) {
+	var r evacuation.Set
+	err := c.do(fasthttp.MethodGet, "/v1/zones", nil, &r)
+	return r, err
+}
+
+// OrderZone evacuates or restores an availability zone, and returns the evacuated ones.
+func (c *Client) OrderZone(o evacuation.Order) (evacuation.Set, error) {
+	var r evacuation.Set
+	err := c.do(fasthttp.MethodPost, "/v1/zones", &o, &r)
+	return r, err
+}
--- a/internal/http/operator/server.go
+++ b/internal/http/operator/server.go
@@ -20,6 +20,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/http/openai"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/state/burn"
 	"rhubarbgate.example/rhubarbgate/internal/state/fleet"
@@ -85,6 +86,8 @@
 	s.app.Post("/v1/jobs/:id/cancel", s.cancel)
 	s.app.Get("/v1/burn", s.burn)
 	s.app.Post("/v1/members", s.member)
+	s.app.Get("/v1/zones", s.zones)
+	s.app.Post("/v1/zones", s.orderZone)
 }
 
 // Serve serves operators on l until Close.
@@ -293,3 +296,29 @@
 	}
 	return c.SendStatus(fiber.StatusNoContent)
 }
+
+// zones lists the evacuated availability zones.
+func (s *Server) zones(c *fiber.Ctx) error {
+	ctx, cancel := withCallTimeout(c)
+	defer cancel()
+	r, err := s.Client.Evacuation(ctx)
+	if err != nil {
+		return err
+	}
+	return c.JSON(&r.Set)
+}
+
+// orderZone evacuates or restores an availability zone. The response is the set in force then.
+func (s *Server) orderZone(c *fiber.Ctx) error {
+	var o evacuation.Order
+	if err := decodeStrict(c.Body(), &o); err != nil {
+		return err
+	}
+	ctx, cancel := withCallTimeout(c)
+	defer cancel()
+	r, err := s.Client.Evacuate(ctx, o)
+	if err != nil {
+		return err
+	}
+	return c.JSON(&r.Set)
+}
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -111,7 +111,7 @@
 	keeper := targetlimits.NewKeeper(name, controls, d.Clock, d.Logger, d.Metrics)
 	recorder := crashes.NewRecorder(table, controls, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
-		OnTargets: table.Update, OnQuarantine: recorder.Update, OnTargetLimits: keeper.Update,
+		OnTargets: table.Update, OnQuarantine: recorder.Update, OnTargetLimits: keeper.Update, OnEvacuation: table.SetEvacuation,
 		Wire: d.Wire, Parents: d.Control, Clock: d.Clock, Random: derivedRandom(d.Random, 1), Logger: d.Logger,
 		Failures: newCounter(d.Metrics, "ConfigPollFailures"),
 		OnPeers: func(p control.Peers) {
@@ -120,6 +120,8 @@
 			stores.SetHosts(p.Stores)
 		},
 	}
+	d.Metrics.Set("ZonesEvacuated", expvar.Func(func() any { return len(table.Evacuation().Zones) }))
+	d.Metrics.Set("EvacuationVersion", expvar.Func(func() any { return table.Evacuation().Version }))
 	d.Metrics.Set("ConfigVersion", expvar.Func(func() any { return watcher.Current().Version }))
 	exchange := &limits.Exchange{
 		Holder: &limit.Holder{Clock: d.Clock}, Client: controls, Clock: d.Clock, Name: name,
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -97,7 +97,7 @@
 	watcher := &configuration.Watcher{
 		Wire: client, Parents: h.Parents, Clock: h.Clock, Random: derivedRandom(h.Random, 1), Logger: h.Logger,
 		Failures:  newCounter(h.Metrics, "ConfigPollFailures"),
-		OnApplied: func(c *config.Config) { table.Update(c) },
+		OnApplied: func(c *config.Config) { table.Update(c) }, OnEvacuation: table.SetEvacuation,
 	}
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return watcher.Current().Version }))
 	exchange := &limits.Exchange{
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -140,6 +140,7 @@
 	targets       atomic.Pointer[timedTargetList]
 	quarantine    published[control.Quarantine, quarantine.Table]
 	limits        published[[]apportion.Limit, apportion.Table]
+	evacuation    registeredEvacuation
 	streams       streams.Memory
 	nextLimitsAt  time.Time     // when updateTargetLimits next reads the table
 	groups        []*raft.Group // by group ID; the fleet group is nil on store hosts
@@ -181,6 +182,7 @@
 		h.Metrics.Set("StreamsKept", expvar.Func(func() any { return h.streams.Len() }))
 		h.fleet = fleet.New()
 		h.fleet.Changed = func(*config.Config) { h.notifier.Notify() }
+		h.prepareEvacuation()
 		if err := h.addGroup(control.FleetGroup, h.fleet); err != nil {
 			return errors.Trace(err)
 		}
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -110,6 +110,7 @@
 	r, err := h.client.Register(call, &control.Register{
 		Host: h.hostRecord(), Leads: h.ledGroups(), Targets: h.targetsDigest(),
 		Quarantine: h.Quarantine(sent).Version, Limits: h.TargetLimits().Version,
+		Evacuation: h.Evacuation().Version,
 	})
 	if err != nil {
 		return false
@@ -120,6 +121,7 @@
 	h.applyTargets(r.Targets, sent)
 	h.applyQuarantine(r.Quarantine, sent)
 	h.applyTargetLimits(r.Limits, sent)
+	h.applyEvacuation(r.Evacuation)
 	controls := addresses(r.Hosts, fleet.ControlHost)
 	h.client.SetHosts(controls)
 	if h.ControlHostsUpdated != nil {
@@ -274,6 +276,7 @@
 		r.Targets = configuration.TargetListReply(h, h.Clock.Now(), in.Targets)
 		r.Quarantine = configuration.QuarantineReply(h, h.Clock.Now(), in.Quarantine)
 		r.Limits = configuration.TargetLimitsReply(h, in.Limits)
+		r.Evacuation = configuration.EvacuationReply(h, in.Evacuation)
 	}
 	return r, nil
 }
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -52,6 +52,8 @@
 		wire.Unary(m, control.MethodLimits, wire.Daemons, h.handleClaimLimits)
 		wire.Unary(m, control.MethodDocument, wire.Operators, h.document)
 		wire.Unary(m, control.MethodRetire, wire.Operators, h.retire)
+		wire.Unary(m, control.MethodEvacuate, wire.Operators, h.handleEvacuate)
+		wire.Unary(m, control.MethodEvacuation, wire.Operators, h.handleEvacuation)
 	}
 	wire.Unary(m, control.MethodMember, wire.Operators, h.member)
 }
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -44,6 +44,7 @@
 	tasks.Go(func() { h.Targets.Run(work) })
 	tasks.Go(func() { h.crashes.Run(work) })
 	tasks.Go(func() { h.limits.Run(work) })
+	tasks.Go(func() { h.followEvacuation(work) })
 	tasks.Go(func() { h.pollLoad(work) })
 	tasks.Go(func() { h.worker.run(batch) })
 	<-ctx.Done()
@@ -63,10 +64,12 @@
 	return &side.ContinuityReply{InUse: h.Clock.Since(since)}, nil
 }
 
-// pollLoad probes the target's load until ctx ends.
+// pollLoad probes the target's load until ctx ends, except while its zone is evacuated.
 func (h *Host) pollLoad(ctx context.Context) {
 	for ctx.Err() == nil {
-		h.probeLoad(ctx)
+		if !h.evacuated.Load() {
+			h.probeLoad(ctx)
+		}
 		interval := idleProbeInterval
 		if h.worker.hasTasks() {
 			interval = busyProbeInterval
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -111,6 +111,7 @@
 	presence       *discovery.Presence  // nil without a Probe
 	leaving        atomic.Bool
 	targetDown     atomic.Bool
+	evacuated      atomic.Bool // the target's zone, see updateEvacuated
 	activeRequests atomic.Int64
 	counts         counters
 }
@@ -159,6 +160,7 @@
 	tasks.Go(func() { h.watcher.Run(work) })
 	tasks.Go(func() { h.keeper.Run(work) })
 	tasks.Go(func() { h.probePort(work) })
+	tasks.Go(func() { h.followEvacuation(work) })
 	batch, stopBatch := context.WithCancel(work)
 	defer stopBatch()
 	if h.Batch {
@@ -208,6 +210,8 @@
 			return since, known && a == h.Target
 		}
 	}
+	h.Metrics.Set("ZoneEvacuated", expvar.Func(func() any { return h.evacuated.Load() }))
+	h.Metrics.Set("EvacuationVersion", expvar.Func(func() any { return h.watcher.Evacuation().Version }))
 	h.Metrics.Set("ConfigVersion", expvar.Func(func() any { return h.watcher.Current().Version }))
 	h.keeper = &gatekeeper.Gatekeeper{Clock: h.Clock, Gate: h.gate(), OnPreempted: h.counts.recordPreemption}
 	h.keeper.Start()
@@ -262,7 +266,9 @@
 			return
 		case <-t.Chan():
 		}
-		h.setTargetDown(!h.targetReachable())
+		if !h.evacuated.Load() {
+			h.setTargetDown(!h.targetReachable())
+		}
 	}
 }
 
@@ -282,8 +288,11 @@
 }
 
 // isLeaving reports whether the side is draining or its target is leaving,
-// according to the configuration or the list of targets.
+// according to the configuration or the list of targets, or in an evacuated zone.
 func (h *Host) isLeaving() bool {
+	if h.evacuated.Load() {
+		return true
+	}
 	if h.Probe != nil {
 		return h.leaving.Load() || !h.targetUsable()
 	}
--- a/internal/role/side/item.go
+++ b/internal/role/side/item.go
@@ -91,13 +91,13 @@
 }
 
 // requeue puts a preempted task at the head of the queue with the output that it
-// has produced, or returns its lease after maxPreemptions.
+// has produced. It returns the lease after maxPreemptions, and if the target's zone is evacuated.
 func (w *worker) requeue(ctx context.Context, t *task) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t.slot = nil
 	t.partial.preemptions++
-	if ctx.Err() == nil && t.partial.preemptions < maxPreemptions {
+	if ctx.Err() == nil && !w.host.evacuated.Load() && t.partial.preemptions < maxPreemptions {
 		t.queuedSince = w.clock.Now()
 		w.queued = append([]*task{t}, w.queued...)
 		return
@@ -141,9 +141,9 @@
 }
 
 // returnQueued returns items that got no slot within maxSlotWait, or all queued
-// items if the target is leaving or down, so that other sides can continue them.
+// items if the target is leaving, down or evacuated, so that other sides can continue them.
 func (w *worker) returnQueued() {
-	if w.host.Probe == nil {
+	if w.host.Probe == nil && !w.host.evacuated.Load() {
 		return
 	}
 	unavailable := w.host.isLeaving() || w.host.targetDown.Load()
--- a/internal/role/side/online.go
+++ b/internal/role/side/online.go
@@ -64,6 +64,9 @@
 	if s.request.KeyDigest != "" {
 		h.awaitConfirmation(ctx)
 	}
+	if h.evacuated.Load() {
+		return h.evacuatedError()
+	}
 	if h.isLeaving() {
 		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "target %s is leaving", h.Name)
 	}
@@ -78,12 +81,20 @@
 		return rhubarbgate.Errorf(code, rhubarbgate.NotRun, "target %s has no room before the deadline", h.Name).WithRetryAfter(time.Second)
 	}
 	defer p.Release()
+	if h.evacuated.Load() {
+		return h.evacuatedError()
+	}
 	if err := s.authorize(); err != nil {
 		return err
 	}
 	return s.forward(p)
 }
 
+// evacuatedError is the error of requests for a target in an evacuated zone.
+func (h *Host) evacuatedError() *rhubarbgate.Error {
+	return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "target %s is in an evacuated zone", h.Name).WithRetryAfter(time.Second)
+}
+
 func (h *Host) configurationStale() bool {
 	return h.Clock.Since(h.watcher.ConfirmedAt()) > h.MaxAge
 }
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -319,7 +319,7 @@
 		}
 		t := w.queued[0]
 		w.mu.Unlock()
-		if ok, _ := w.host.limitAvailable(); !ok {
+		if ok, _ := w.host.limitAvailable(); !ok || w.host.evacuated.Load() {
 			return
 		}
 		work := rhubarbgate.Work{Class: rhubarbgate.Batch, Workspace: t.grant.Workspace, Deadline: t.grant.Due, Progress: len(t.output.Text)}
@@ -332,6 +332,10 @@
 			return
 		}
 		w.setSlot(t, p)
+		if p != nil && w.host.evacuated.Load() {
+			// The zone may have been evacuated after preemptRunning looked for items.
+			p.Preempt()
+		}
 		if p != nil {
 			w.tasks.Go(func() { w.runTask(ctx, t, p) })
 		}
@@ -446,15 +450,18 @@
 }
 
 // preemptRunning preempts the running idempotent tasks, which another side may
-// continue; the others run to their end.
-func (w *worker) preemptRunning() {
+// continue, and returns how many; the others run to their end.
+func (w *worker) preemptRunning() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	n := 0
 	for _, t := range w.leased {
 		if t.slot != nil && t.grant.Idempotent {
 			t.slot.Preempt()
+			n++
 		}
 	}
+	return n
 }
 
 // returnAllQueued returns the leases of all queued items when the side drains.
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -10,6 +10,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/clock/deadline"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/claims"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -297,3 +298,17 @@
 	}
 	return r, err
 }
+
+// Evacuate commits an evacuation order.
+func (c *Client) Evacuate(ctx context.Context, o evacuation.Order) (*EvacuateReply, error) {
+	r, err := call[EvacuateReply](ctx, c, FleetGroup, MethodEvacuate, &Evacuate{o})
+	if err == nil && r.Err != nil {
+		return nil, r.Err
+	}
+	return r, err
+}
+
+// Evacuation returns the evacuated zones.
+func (c *Client) Evacuation(ctx context.Context) (*EvacuationReply, error) {
+	return call[EvacuationReply](ctx, c, FleetGroup, MethodEvacuation, &Hello{})
+}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -10,6 +10,7 @@
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/consensus/raft"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
@@ -39,6 +40,9 @@
 	MethodLimits   = "/control/ClaimLimits"
 	MethodStreams  = "/control/Streams"
 	MethodLift     = "/control/Lift"
+
+	MethodEvacuate   = "/control/Evacuate"
+	MethodEvacuation = "/control/Evacuation"
 )
 
 // FleetGroup is the ID of the Raft group that holds the configuration and the list of
@@ -77,6 +81,9 @@
 	Quarantine LeaderVersion
 	// Limits is the version of the target limits that the polling process holds.
 	Limits LeaderVersion
+	// Evacuation is the version of the evacuated zones that the polling process holds. It is nil in the
+	// polls of earlier builds, which would otherwise never be held while a zone is evacuated.
+	Evacuation *uint64 `msgpack:",omitempty"`
 }
 
 // PollReply carries the bundles after the polled version or, if they are no longer
@@ -103,6 +110,28 @@
 	Quarantine *Quarantine `msgpack:",omitempty"`
 	// Limits is nil if the polling process holds this version or a newer one.
 	Limits *TargetLimits `msgpack:",omitempty"`
+	// Evacuation is nil if the polling process holds this version or a newer one. Age holds for the
+	// evacuated zones too: they are part of the same replicated state as the configuration.
+	Evacuation *evacuation.Set `msgpack:",omitempty"`
+}
+
+// Evacuate orders the evacuation of an availability zone, or withdraws it.
+type Evacuate struct{ Order evacuation.Order }
+
+// EvacuateReply is the reply to an Evacuate.
+type EvacuateReply struct {
+	Routing
+	// Err is set if the zone is not known, or whether it is.
+	Err *rhubarbgate.Error
+	// Set is in force after the order; Changed is false if the order had been carried out before.
+	Set     evacuation.Set
+	Changed bool
+}
+
+// EvacuationReply lists the evacuated zones at the time of the call.
+type EvacuationReply struct {
+	Routing
+	Set evacuation.Set
 }
 
 // TargetLimits lists the targets that state a limit, and which processes send to them how much.
@@ -234,6 +263,8 @@
 	// Quarantine and Limits are the versions of the quarantine and of the target limits that a
 	// control host holds.
 	Quarantine, Limits LeaderVersion
+	// Evacuation is the version of the evacuated zones that a control host holds.
+	Evacuation uint64 `msgpack:",omitempty"`
 }
 
 // GroupMembers is the membership of a job group, as reported by its leader in Term.
@@ -254,6 +285,8 @@
 	// Quarantine and Limits are those of the leader, for control hosts that hold older ones.
 	Quarantine *Quarantine   `msgpack:",omitempty"`
 	Limits     *TargetLimits `msgpack:",omitempty"`
+	// Evacuation is that of the leader, for control hosts that hold an older version.
+	Evacuation *evacuation.Set `msgpack:",omitempty"`
 }
 
 // HostState is a host and the time since the leader last received its Register, or since
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -126,6 +126,8 @@
 	reused map[*platformtest.Target]bool
 	// disturbances are the times in which processes were stopped, frozen or restarting.
 	disturbances []*disturbance
+	// evacuated is set by the task that evacuates a zone.
+	evacuated evacuation
 }
 
 // Report is the outcome of a run: how many requests were sent and served, how many jobs
@@ -189,13 +191,18 @@
 	tasks.Go(func() { s.upgradeTargets(loadCtx, upgrading) })
 	oddities := rand.New(rand.NewPCG(s.Seed, 97))
 	tasks.Go(func() { s.changeOddEntries(loadCtx, oddities) })
+	var evacuating conc.WaitGroup
+	evacuations := rand.New(rand.NewPCG(s.Seed, 94))
+	evacuating.Go(func() { s.evacuateZone(ctx, evacuations) })
 	s.injectFaults(ctx)
+	evacuating.Wait()
 	stopLoad()
 	tasks.Wait()
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Annotatef(err, "seed %d", s.Seed)
 	}
 	s.awaitRecovery(ctx)
+	s.verifyRestored(ctx)
 	s.verifyDrain(ctx)
 	s.history.verify(s.targets)
 	for _, r := range s.unlisted.Runs() {
@@ -207,6 +214,7 @@
 		}
 	}
 	s.verifyLimits()
+	s.verifyEvacuation()
 	s.verifyProcesses()
 	crashes, late := s.verifyCrashes()
 	r := s.report()
--- a/internal/state/fleet/machine.go
+++ b/internal/state/fleet/machine.go
@@ -1,4 +1,4 @@
-// Package fleet holds the replicated configuration, the recent bundles that led to it, and the hosts that keep replicated state.
+// Package fleet holds the replicated configuration, the recent bundles that led to it, the evacuated zones, and the hosts that keep replicated state.
 package fleet
 
 import (
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
@@ -34,6 +35,16 @@
 	Retire *RetireHost `msgpack:",omitempty"`
 	// First is stored unless there are initial store hosts already.
 	First *InitialStoreHosts `msgpack:",omitempty"`
+	// Evacuate evacuates or restores an availability zone.
+	Evacuate *evacuation.Order `msgpack:",omitempty"`
+}
+
+// EvacuationResult is the result of a committed evacuation order.
+type EvacuationResult struct {
+	// Set is in force after the order.
+	Set evacuation.Set
+	// Changed is false if the order had been carried out before.
+	Changed bool
 }
 
 // CommitResult is the result of a committed command.
@@ -53,6 +64,9 @@
 type Machine struct {
 	// Changed, if set, is called after each new version, also a restored one.
 	Changed func(*config.Config)
+	// EvacuationChanged, if set, is called after each change of the evacuated zones, also by a
+	// restored snapshot.
+	EvacuationChanged func(evacuation.Set)
 
 	mu      sync.RWMutex
 	state   state
@@ -74,6 +88,8 @@
 	Document []byte
 	Hosts    []HostRecord
 	First    *InitialStoreHosts
+	// Evacuated is nil in the snapshots of earlier builds and until the first order.
+	Evacuated *evacuation.Set `msgpack:",omitempty"`
 }
 
 var _ rhubarbgate.StateMachine = (*Machine)(nil)
@@ -81,7 +97,8 @@
 // New returns a state machine with the empty configuration, version 0.
 func New() *Machine { return &Machine{current: config.New()} }
 
-// Apply implements rhubarbgate.StateMachine; its result is a *CommitResult.
+// Apply implements rhubarbgate.StateMachine; its result is a *CommitResult, and an *EvacuationResult for
+// an evacuation order.
 func (m *Machine) Apply(_ uint64, data []byte) any {
 	var c Command
 	if err := wire.Unmarshal(data, &c); err != nil {
@@ -102,6 +119,12 @@
 		return m.retire(c.Retire)
 	case c.First != nil:
 		return m.setInitialStoreHosts(c.First)
+	case c.Evacuate != nil:
+		r := m.evacuate(*c.Evacuate)
+		if r.Changed && m.EvacuationChanged != nil {
+			m.EvacuationChanged(r.Set)
+		}
+		return r
 	default:
 		return &CommitResult{Err: rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "empty command")}
 	}
@@ -235,8 +258,12 @@
 	c := config.FromSection(s.Version, s.Digest, s.Section)
 	s.Section = rhubarbgate.Section{}
 	m.mu.Lock()
+	evacuationChanged := s.evacuated().Version != m.state.evacuated().Version
 	m.state, m.current = s, c
 	m.mu.Unlock()
+	if evacuationChanged && m.EvacuationChanged != nil {
+		m.EvacuationChanged(s.evacuated())
+	}
 	if m.Changed != nil {
 		m.Changed(c)
 	}
