--- a/internal/role/side/worker_test.go
+++ b/internal/role/side/worker_test.go
@@ -26,7 +26,7 @@
 // queue: a preempted task is put at the head of the queue while the former first
 // task gets its slot, so the task to remove is no longer the first.
 func TestSetSlotKeepsRequeuedTask(t *testing.T) {
-	w := &worker{clock: clockwork.NewFakeClock()}
+	w := &worker{host: &Host{}, clock: clockwork.NewFakeClock()}
 	starting, preempted := &task{}, &task{}
 	w.queued = []*task{starting}
 	w.requeue(context.Background(), preempted)
