policy/placement: the loss of a zone leaves a majority where the hosts allow it

Cause: the fourth and fifth voter were chosen by hash among zones with a voter, so that three of five could be in one zone; a group that had lost its spread never regained it; a retirement could make the spread impossible. Change: hosts are added in the zone with the fewest voters; a voter of the fullest zone is replaced or removed where that restores the spread; a retirement after which no spread is possible is refused. A group that depends on one zone is logged.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -1,4 +1,5 @@
-// Package placement plans which hosts replicate a group: it adds, replaces and removes members, one change at a time.
+// Package placement plans which hosts replicate a group: it adds, replaces and removes members, one change at a time, so
+// that the loss of an availability zone leaves a majority where the hosts allow that.
 package placement
 
 import (
@@ -47,7 +48,7 @@
 		return nil, false
 	}
 	if len(usable) < p.MaxVoters {
-		if h, ok := p.hostToAdd(members, hosts); ok {
+		if h, ok := p.hostToAdd(members, hosts); ok && p.shouldAdd(members, hosts) {
 			h.Member.Learner = true
 			return members.With(h.Member), true
 		}
@@ -57,6 +58,13 @@
 			return members.Without(m.ID), true
 		}
 	}
+	if id, ok := p.voterToRemove(members, usable); ok {
+		return members.Without(id), true
+	}
+	if h, ok := p.hostToSpread(members, hosts); ok {
+		h.Member.Learner = true
+		return members.With(h.Member), true
+	}
 	return nil, false
 }
 
@@ -95,31 +103,28 @@
 	return r
 }
 
-// hostToAdd chooses the host to add: one in an availability zone without a usable voter
-// if possible, then the one with the highest rendezvous hash, so that the groups
+// hostToAdd chooses the host to add: one in the availability zone with the fewest usable
+// voters, then the one with the highest rendezvous hash, so that the groups
 // spread over the hosts.
 func (p *Planner) hostToAdd(members raft.Members, hosts []Host) (Host, bool) {
-	covered := map[string]bool{}
-	for _, h := range p.usableVoters(members, hosts) {
-		covered[h.AvailabilityZone] = true
-	}
+	zones := voterZones(p.usableVoters(members, hosts))
 	best, found := Host{}, false
 	for _, h := range hosts {
 		if _, member := members.Find(h.Member.ID); member || h.Retiring || p.lost(h, true) {
 			continue
 		}
-		if !found || p.better(h, best, covered) {
+		if !found || p.better(h, best, zones) {
 			best, found = h, true
 		}
 	}
 	return best, found
 }
 
-// better reports whether a is to be added rather than b. The availability zones in
-// covered have a usable voter.
-func (p *Planner) better(a, b Host, covered map[string]bool) bool {
-	if x, y := covered[a.AvailabilityZone], covered[b.AvailabilityZone]; x != y {
-		return y
+// better reports whether a is to be added rather than b. zones counts the usable voters
+// by availability zone.
+func (p *Planner) better(a, b Host, zones map[string]int) bool {
+	if x, y := zones[a.AvailabilityZone], zones[b.AvailabilityZone]; x != y {
+		return x < y
 	}
 	return p.rendezvous(a) > p.rendezvous(b)
 }
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -134,3 +134,83 @@
 		}
 	})
 }
+
+// TestLossOfAZone states what is guaranteed: wherever the hosts that are left allow it, a group ends up with
+// members of which any one availability zone, and any two hosts with five voters, may be lost. It guards against
+// a third voter in one zone, a spread that is not restored once hosts are back, and one that is never done.
+func TestLossOfAZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
+		var hosts []Host
+		for i := range rapid.IntRange(voters, 15).Draw(t, "hosts") {
+			hosts = append(hosts, host(uint64(i+1), rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "zone")))
+		}
+		p := &Planner{Group: rapid.Uint32Range(0, 9).Draw(t, "group"), MaxVoters: rapid.SampledFrom([]int{voters, 7}).Draw(t, "most"), MinVoters: voters, LostAfter: time.Second}
+		m := applyChanges(t, p, p.InitialMembers(hosts)[:voters], hosts)
+		check := func(when string) {
+			var left []Host
+			for _, h := range hosts {
+				if h.SinceRegistration == 0 && !h.Retiring {
+					left = append(left, h)
+				}
+			}
+			if !p.CanSurviveZone(left) {
+				return
+			}
+			if len(m) < voters || len(m) > p.MaxVoters || !p.SurvivesZone(m, hosts) {
+				t.Fatalf("%s: %v of %v does not survive the loss of a zone", when, memberIDs(m), hosts)
+			}
+		}
+		check("at first")
+		for range rapid.IntRange(1, 10).Draw(t, "events") {
+			i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				hosts[i].SinceRegistration = time.Minute
+			case 1:
+				hosts[i].Retiring = !hosts[i].Retiring
+			case 2:
+				zone, lost := hosts[i].AvailabilityZone, time.Duration(rapid.IntRange(0, 1).Draw(t, "lost"))*time.Minute
+				for k := range hosts {
+					if hosts[k].AvailabilityZone == zone {
+						hosts[k].SinceRegistration = lost
+					}
+				}
+			default:
+				hosts[i].SinceRegistration = 0
+			}
+			m = applyChanges(t, p, m, hosts)
+			check("after a change")
+		}
+	})
+}
+
+// TestZonesThatAllowNoSpread lists placements that cannot survive the loss of a zone, and checks that they are
+// told apart from those that can.
+func TestZonesThatAllowNoSpread(t *testing.T) {
+	tests := []struct {
+		name   string
+		voters int
+		zones  string
+		want   bool
+	}{
+		{"one zone", 3, "aaaa", false},
+		{"two zones", 3, "aabb", false},
+		{"three zones", 3, "abc", true},
+		{"five of two zones", 5, "aaabbb", false},
+		{"five of three zones", 5, "aabbc", true},
+		{"most in one zone", 5, "aaabc", false},
+		{"all in different zones", 5, "abcde", true},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			p := &Planner{MaxVoters: x.voters, MinVoters: x.voters, LostAfter: time.Second}
+			var hosts []Host
+			for i, zone := range x.zones {
+				hosts = append(hosts, host(uint64(i+1), string(zone)))
+			}
+			qt.Assert(t, p.CanSurviveZone(hosts), qt.Equals, x.want)
+			qt.Assert(t, p.SurvivesZone(p.InitialMembers(hosts), hosts), qt.Equals, x.want)
+		})
+	}
+}
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,7 @@
 	client        *control.Client        // calls the fleet group; nil without Seeds
 	watcher       *configuration.Watcher // nil on control hosts
 	roster        roster
+	retiring      sync.Mutex     // held while a retirement is checked and committed
 	fleet         *fleet.Machine // nil on store hosts
 	targets       atomic.Pointer[timedTargetList]
 	quarantine    published[control.Quarantine, quarantine.Table]
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -55,6 +55,8 @@
 	reply      *control.RegisterReply
 	replyAt    time.Time
 	nextPlanAt time.Time
+	// zoneBound are the groups led by this host that the loss of a zone would end, as last logged.
+	zoneBound map[uint32]bool
 
 	// The following fields are used only by the leader of the fleet group.
 	term          uint64
@@ -205,7 +207,9 @@
 		if s.Phase != raft.Leader || !g.Leased() || s.Applied < s.Commit {
 			continue
 		}
-		next, due := h.planner(s.Group).Next(s.Members, hosts)
+		p := h.planner(s.Group)
+		h.recordZoneBound(s.Group, !p.SurvivesZone(s.Members, hosts))
+		next, due := p.Next(s.Members, hosts)
 		if !due {
 			continue
 		}
@@ -224,6 +228,25 @@
 	}
 }
 
+// recordZoneBound logs when a group that this host leads begins or ceases to depend on one availability zone.
+func (h *Host) recordZoneBound(group uint32, bound bool) {
+	h.roster.mu.Lock()
+	defer h.roster.mu.Unlock()
+	if h.roster.zoneBound == nil {
+		h.roster.zoneBound = map[uint32]bool{}
+	}
+	if h.roster.zoneBound[group] == bound {
+		return
+	}
+	h.roster.zoneBound[group] = bound
+	f := h.Logger.WithField("group", group)
+	if bound {
+		f.Warn("the loss of one availability zone would take the group's majority")
+		return
+	}
+	f.Info("the group survives the loss of any one availability zone")
+}
+
 // rosterHosts returns the hosts of this host's kind, or false if no planning is due
 // or the list is older than maxRosterAge.
 func (h *Host) rosterHosts(now time.Time) ([]placement.Host, bool) {
@@ -386,6 +409,20 @@
 	if in.Query {
 		return h.retireStatus(ctx, in.Name)
 	}
+	// Another retirement may not be committed between the check and the commit.
+	h.retiring.Lock()
+	defer h.retiring.Unlock()
+	notLeader, err := readBarrier(ctx, h.groups[control.FleetGroup])
+	if err != nil {
+		return nil, err
+	}
+	if notLeader {
+		return &control.RetireReply{Routing: h.routing(control.FleetGroup)}, nil
+	}
+	if err := h.checkZonesWithout(in.Name); err != nil {
+		h.Logger.WithField("host", in.Name).Info("store host retirement refused: " + err.Message)
+		return &control.RetireReply{Err: err}, nil
+	}
 	v, notLeader, err := h.propose(ctx, control.FleetGroup, &fleet.Command{Retire: &fleet.RetireHost{Name: in.Name, Least: h.minVoters()}})
 	if err != nil {
 		return nil, err
@@ -398,6 +435,27 @@
 	return &control.RetireReply{Err: r.Err}, nil
 }
 
+// checkZonesWithout returns an error if the store hosts suffice for groups that survive the loss of any one
+// availability zone, but would not without the named one. A host that is retiring already may be named again.
+func (h *Host) checkZonesWithout(name string) *rhubarbgate.Error {
+	var hosts, left []placement.Host
+	for _, x := range h.fleet.Hosts() {
+		if x.Kind != fleet.StoreHost {
+			continue
+		}
+		if x.Name == name && x.Retiring {
+			return nil
+		}
+		hosts = append(hosts, placement.Host{Member: x.Member, AvailabilityZone: x.AvailabilityZone, Retiring: x.Retiring})
+		left = append(left, placement.Host{Member: x.Member, AvailabilityZone: x.AvailabilityZone, Retiring: x.Retiring || x.Name == name})
+	}
+	p := &placement.Planner{MaxVoters: h.minVoters(), MinVoters: h.minVoters(), LostAfter: lostAfter}
+	if p.CanSurviveZone(hosts) && !p.CanSurviveZone(left) {
+		return rhubarbgate.Errorf(rhubarbgate.CodeConflict, rhubarbgate.NotRun, "without store host %q the loss of one availability zone would take the majority of groups", name)
+	}
+	return nil
+}
+
 // retireStatus reports whether a store host is retiring and holds no replicas.
 func (h *Host) retireStatus(ctx context.Context, name string) (*control.RetireReply, error) {
 	notLeader, err := readBarrier(ctx, h.groups[control.FleetGroup])
