--- a/internal/role/entry/evacuation_test.go
+++ b/internal/role/entry/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -144,3 +145,26 @@
 	callers.Wait()
 	qt.Assert(t, probes > 0 && requests > 0, qt.IsTrue, qt.Commentf("%d probes, %d requests", probes, requests))
 }
+
+// TestOrderOfAnOperatorThatIsGone guards against an order that takes effect long after its operator repeated it
+// elsewhere and withdrew it, because the host that got it first was frozen.
+func TestOrderOfAnOperatorThatIsGone(t *testing.T) {
+	f := startFleetOf(t, 1, func(*platformtest.Target) {})
+	operator := f.serveOperators()
+	// The call waits behind a listener that accepts nothing until its operator is gone.
+	l := f.listen()
+	c, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	_, err = fmt.Fprint(c, "POST /-/evacuate/z HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	c.Close()
+	client := &control.Client{Wire: wire.NewClient(nil), Hosts: f.seeds, Clock: clockwork.NewRealClock()}
+	o := &platform.Operator{Client: client, Logger: &log.Logger{Handler: discard.New()}}
+	accepted, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	_ = o.Server().ServeConn(accepted)
+	r, err := client.Evacuation(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Set.Version, qt.Equals, uint64(0))
+	qt.Assert(t, call(t, http.MethodPost, operator, "/-/evacuate/z"), qt.Equals, 200)
+}
