--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -136,10 +137,12 @@
 	client        *control.Client        // calls the fleet group; nil without Seeds
 	watcher       *configuration.Watcher // nil on control hosts
 	roster        roster
+	retiring      sync.Mutex     // held while a retirement is checked and committed
 	fleet         *fleet.Machine // nil on store hosts
 	targets       atomic.Pointer[timedTargetList]
 	quarantine    published[control.Quarantine, quarantine.Table]
 	limits        published[[]apportion.Limit, apportion.Table]
+	evacuation    registeredEvacuation
 	streams       streams.Memory
 	nextLimitsAt  time.Time     // when updateTargetLimits next reads the table
 	groups        []*raft.Group // by group ID; the fleet group is nil on store hosts
@@ -181,6 +184,7 @@
 		h.Metrics.Set("StreamsKept", expvar.Func(func() any { return h.streams.Len() }))
 		h.fleet = fleet.New()
 		h.fleet.Changed = func(*config.Config) { h.notifier.Notify() }
+		h.prepareEvacuation()
 		if err := h.addGroup(control.FleetGroup, h.fleet); err != nil {
 			return errors.Trace(err)
 		}
