cold: the rate of cold targets is divided among the entries and kept to

Cause: a target that started a short time ago crashes at its usual rate, and entries could not tell it from a warm one. Change: platform decodes cold_left_ms, X-Cold-Ms and the cold fields of services; policy/cold follows which targets are cold; the leader of the fleet group divides their rates as it does stated limits and publishes that with or before the list; entries and sides send only with a token, warm targets first. Result: without cold fields nothing changes; the tests of stated limits pass unchanged.

--- a/dialect.go
+++ b/dialect.go
@@ -68,12 +68,17 @@
 	// ReadAsNotRun says that callers take the response's status for that promise, whether or
 	// not the target gives it.
 	ReadAsNotRun bool
+	// OtherInstance says that the target refused the request because it is for another instance.
+	OtherInstance bool
 	// Leaving is the target's announcement that it is about to stop.
 	Leaving bool
 	// Limit is the rate of requests a second that the target takes from all processes
 	// together; it is valid only if HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// ColdLeft is for how long the target stays cold, 0 if it is warm; it is valid only if HasCold is set.
+	ColdLeft time.Duration
+	HasCold  bool
 	// Load is the target's load; it is valid only if HasLoad is set.
 	Load    TargetLoad
 	HasLoad bool
@@ -141,6 +146,8 @@
 	// Version is that of the instance's software, empty if the list does not name it. Instances of
 	// several versions may serve side by side; they have no order.
 	Version string `msgpack:",omitempty"`
+	// ColdLeft is for how long the instance stays cold, as of when the list was requested.
+	ColdLeft time.Duration `msgpack:",omitempty"`
 }
 
 // Directory reads the platform's list of targets.
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -171,9 +171,10 @@
 	w.groups = r.Groups
 	// The reply left the parent no earlier than this.
 	repliedAt := sent.Add(r.Held)
+	// The division of a cold target's rate has to be known before the target is.
+	limitsChanged := w.applyTargetLimits(r.Limits)
 	targetsChanged := w.applyTargets(r.Targets, repliedAt)
 	quarantineChanged := w.applyQuarantine(r.Quarantine, repliedAt)
-	limitsChanged := w.applyTargetLimits(r.Limits)
 	if len(r.Peers.Controls) > 0 {
 		w.peers = r.Peers
 		if w.OnPeers != nil {
@@ -208,10 +209,12 @@
 	changed := list.Digest != w.targets.Digest
 	if changed {
 		w.targets = *list
+	} else {
+		w.targets.ReadLag += at.Sub(w.targetsRequestedAt)
 	}
 	w.targetsRequestedAt = at
 	if w.OnTargets != nil {
-		w.OnTargets(w.targets.Instances, at)
+		w.OnTargets(w.targets.Current(), at)
 	}
 	return changed
 }
--- a/internal/controller/discovery/adopt.go
+++ b/internal/controller/discovery/adopt.go
@@ -123,9 +123,10 @@
 	delete(t.targets, keyOf(x.Instance))
 	x.Client.CloseIdle()
 	restarted := x.Instance
-	restarted.ID, restarted.Leaving, restarted.Version = id, false, ""
+	restarted.ID, restarted.Leaving, restarted.Version, restarted.ColdLeft = id, false, "", 0
 	addTo(t.Adopted)
 	t.Logger.WithFields(f).Info("target restarted, ahead of the list")
+	t.Cold.ObserveStart(TargetName(restarted), restarted.Service)
 	added := t.add(k, restarted)
 	added.unlisted.Store(true)
 	return added
@@ -159,7 +160,7 @@
 	for i, x := range list {
 		r[i] = x
 		if a, ok := t.adoptions[x.Address]; ok && x.ID == a.earlier && now.Before(a.until) {
-			r[i].ID, r[i].Leaving, r[i].Version = a.current, false, ""
+			r[i].ID, r[i].Leaving, r[i].Version, r[i].ColdLeft = a.current, false, "", 0
 			kept[x.Address] = a
 		}
 	}
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -20,6 +20,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/targets"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
+	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 	"rhubarbgate.example/rhubarbgate/internal/policy/health"
 	"rhubarbgate.example/rhubarbgate/internal/policy/versions"
 )
@@ -70,6 +71,8 @@
 	NamesService func(service string) bool
 	// Versions, if set, follows the versions in the list.
 	Versions *versions.History
+	// Cold, if set, follows which listed targets are cold.
+	Cold *cold.Tracker
 	// Failures counts failed requests for the list, Unreadable the list's entries
 	// that were skipped, Opened new connections to targets, and Ejections targets
 	// that were ejected.
@@ -215,6 +218,7 @@
 		t.Versions.Observe(list, requestedAt)
 	}
 	list = withoutRepetitions(t.withAdoptions(list))
+	t.Cold.ObserveList(list, requestedAt, TargetName)
 	present := map[targetKey]bool{}
 	for _, x := range list {
 		k := keyOf(x)
--- a/internal/controller/targetlimits/claim.go
+++ b/internal/controller/targetlimits/claim.go
@@ -16,6 +16,9 @@
 	claimTimeout = time.Second
 	// statementTTL is how long what a response stated is worth reporting.
 	statementTTL = 10 * time.Second
+	// presenceInterval is how often a process claims while no target has a limit or is cold, but targets may
+	// become cold. The leader counts a process for claimTTL, which is longer.
+	presenceInterval = 2 * time.Second
 )
 
 // claim reports to the leader of the fleet group once. If that fails, the next claim follows soon.
@@ -45,7 +48,12 @@
 	now := k.Clock.Now()
 	c := apportion.Claim{Process: k.Process, Beside: beside, Demand: map[string]float64{}}
 	for name, x := range k.targets {
-		if !k.isListed(x) && now.Sub(x.statedAt) >= statementTTL {
+		_, isCold := k.coldTarget(name, x)
+		c.Cold = k.appendColdReport(c.Cold, name, x, now)
+		if isCold && x.statedAt.IsZero() {
+			continue
+		}
+		if !isCold && !k.isListed(x) && now.Sub(x.coldAt) >= coldReportTTL && now.Sub(x.statedAt) >= statementTTL {
 			delete(k.targets, name)
 			continue
 		}
@@ -58,14 +66,41 @@
 		}
 		c.Statements = append(c.Statements, s)
 	}
-	if len(k.targets) == 0 || !wantsWork {
+	if len(k.targets) == 0 && !k.Cold.Enabled() || !wantsWork {
 		return nil
 	}
+	k.claimedAt = now
 	for service, d := range k.demand {
 		d.decay(now)
 		c.Demand[service] = d.rate
 	}
-	return &control.ClaimLimits{Claim: c}
+	return &control.ClaimLimits{Claim: c, Version: k.version}
+}
+
+// coldReportTTL is how long what a response said about the cold time is reported: for several claims.
+const coldReportTTL = 3 * time.Second
+
+// appendColdReport appends what this process knows of a cold target. The lock is held.
+func (k *Keeper) appendColdReport(list []apportion.ColdReport, name string, x *limited, now time.Time) []apportion.ColdReport {
+	r := apportion.ColdReport{Target: name, Service: x.service}
+	if k.isDivided(x) {
+		r.Held = x.share
+	}
+	if age := now.Sub(x.coldAt); !x.coldAt.IsZero() && age < coldReportTTL {
+		r.Stated, r.Left, r.Age = true, x.coldLeft, age
+	}
+	if r.Held == 0 && !r.Stated {
+		return list
+	}
+	return append(list, r)
+}
+
+// claimDue reports whether it is time for a claim. While no target has a limit or is cold, that is less
+// often.
+func (k *Keeper) claimDue() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.targets) > 0 || k.Clock.Since(k.claimedAt) >= presenceInterval
 }
 
 // Update applies the limits that the control hosts list. It ignores all but newer ones. A limit of an earlier leader lasts until the current one has it.
@@ -79,24 +114,45 @@
 		k.leaderSince = k.Clock.Now()
 	}
 	k.version = l.Version
+	if len(l.Processes) > 0 {
+		k.processes = l.Processes
+	}
 	listed := map[string]bool{}
 	for _, limit := range l.Limits {
 		listed[limit.Target] = true
 		x := k.targets[limit.Target]
 		if x == nil {
-			x = k.add(limit.Target, "")
+			x = k.add(limit.Target, limit.Service)
 		}
 		k.refill(x)
+		wasKnown := x.listed || x.interimSent
+		isCold := limit.ColdLeft > 0
+		switch {
+		case isCold:
+			k.Cold.ObserveDivided(limit.Target, limit.Service, limit.ColdLeft)
+			if !x.cold {
+				x.tokens = 0
+			}
+		case x.cold:
+			k.Cold.ObserveWarm(limit.Target)
+		}
+		x.cold, x.burst = isCold, limit.Burst
 		x.listed, x.perSecond, x.share, x.term = true, limit.PerSecond, 0, l.Version.Term
 		if i := slices.IndexFunc(limit.Holders, func(h apportion.Holder) bool { return h.Process == k.Process }); i >= 0 {
 			x.share = limit.Holders[i].PerSecond
+			if limit.Full && !wasKnown {
+				x.tokens, x.tokenAt = limit.Burst, k.Clock.Now()
+			}
 		} else {
 			x.tokens = 0
 		}
 	}
 	for name, x := range k.targets {
-		if x.listed && !listed[name] && (x.term == l.Version.Term || !k.isListed(x)) {
+		if x.listed && !listed[name] && (x.term == l.Version.Term || !k.isListed(x) && !k.isDivided(x)) {
 			// The limit has ended.
+			if x.cold && x.term == l.Version.Term {
+				k.Cold.ObserveWarm(name)
+			}
 			delete(k.targets, name)
 		}
 	}
--- a/internal/controller/targetlimits/keeper.go
+++ b/internal/controller/targetlimits/keeper.go
@@ -5,14 +5,17 @@
 	"context"
 	"expvar"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
 
@@ -48,6 +51,8 @@
 	HasWork func() bool
 	// Client calls the control hosts.
 	Client *control.Client
+	// Cold, if set, knows the cold targets.
+	Cold   *cold.Tracker
 	Clock  clockwork.Clock
 	Logger log.Interface
 
@@ -58,6 +63,12 @@
 	version control.LeaderVersion
 	// leaderSince is when the first list of the current leader came.
 	leaderSince time.Time
+	// processes are those that send to all targets, as a leader listed them last.
+	processes []string
+	// claimedAt is when the last claim was built.
+	claimedAt time.Time
+
+	coldSent, coldInterim, coldWithout, returned *expvar.Int
 }
 
 // limited is a target with a limit.
@@ -71,6 +82,16 @@
 	perSecond float64 // of all processes, as it is divided
 	share     float64
 	term      uint64 // of the leader that listed it
+	// cold says that the limit is listed because the target is cold, and burst is how many tokens this
+	// process keeps then.
+	cold  bool
+	burst float64
+	// interimSent says that this process has sent the one request to the cold target that it may send
+	// before it knows the division.
+	interimSent bool
+	// coldLeft is what a response said at coldAt about the cold time; zero if this process got none.
+	coldLeft time.Duration
+	coldAt   time.Time
 
 	tokens  float64
 	tokenAt time.Time
@@ -101,6 +122,14 @@
 		}
 		return n
 	}))
+	counter := func(name string) *expvar.Int {
+		v := new(expvar.Int)
+		m.Set(name, v)
+		return v
+	}
+	k.coldSent, k.coldInterim = counter("ColdRequests"), counter("ColdRequestsUndivided")
+	k.coldWithout, k.returned = counter("ColdWithoutToken"), counter("LimitTokensReturned")
+	m.Set("TargetsCold", expvar.Func(func() any { return len(k.Cold.Targets()) }))
 	return k
 }
 
@@ -127,6 +156,31 @@
 	x.statedAt = k.Clock.Now()
 }
 
+// ObserveCold records for how long a response of a target says that it stays cold.
+func (k *Keeper) ObserveCold(t *discovery.Target, left time.Duration) {
+	if k == nil || !k.Cold.Enabled() {
+		return
+	}
+	now := k.Clock.Now()
+	name := t.Name()
+	_, before := k.Cold.Cold(name)
+	k.Cold.ObserveResponse(name, t.Instance.Service, left, now)
+	_, after := k.Cold.Cold(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x := k.targets[name]
+	if x == nil {
+		if !before && !after {
+			return
+		}
+		x = k.add(name, t.Instance.Service)
+	}
+	x.coldLeft, x.coldAt = left, now
+	if before != after {
+		k.signal()
+	}
+}
+
 // add adds a target whose limit became known. It begins without tokens, as many processes learn of
 // a limit at the same time. The lock is held.
 func (k *Keeper) add(name, service string) *limited {
@@ -138,7 +192,112 @@
 // isListed reports whether the control hosts list a limit of the target. That of an earlier leader
 // counts for a while. The lock is held.
 func (k *Keeper) isListed(x *limited) bool {
-	return x.listed && (x.term == k.version.Term || k.Clock.Since(k.leaderSince) < earlierLeaderTTL)
+	return x.listed && !x.cold && (x.term == k.version.Term || k.Clock.Since(k.leaderSince) < earlierLeaderTTL)
+}
+
+// isDivided reports whether this process knows the division of a cold target's rate. That of an earlier leader counts
+// for a while, and as long as there is no other leader. The lock is held.
+func (k *Keeper) isDivided(x *limited) bool {
+	return x.listed && x.cold && (x.term == k.version.Term || k.Clock.Since(k.leaderSince) < earlierLeaderTTL)
+}
+
+// coldTarget returns the target if it is cold. Its share of the last cold time does not count for another
+// one. The lock is held.
+func (k *Keeper) coldTarget(name string, x *limited) (cold.Target, bool) {
+	c, isCold := k.Cold.Cold(name)
+	if !isCold && x != nil && x.cold {
+		x.listed, x.cold, x.share, x.interimSent = false, false, 0, false
+	}
+	return c, isCold
+}
+
+// isInterimSender reports whether this process is among those that may send one request to a cold target before
+// they know the division. All processes with the same list of them choose the same ones.
+func (k *Keeper) isInterimSender(c cold.Target) bool {
+	if k.Beside != nil || !slices.Contains(k.processes, k.Process) {
+		return false
+	}
+	own, before := xxhash.Sum64String(c.Name+k.Process), 0
+	for _, p := range k.processes {
+		if xxhash.Sum64String(c.Name+p) < own {
+			before++
+		}
+	}
+	return before < apportion.ColdInterim(c.PerSecond)
+}
+
+// availableCold is Available for a cold target. The lock is held.
+func (k *Keeper) availableCold(c cold.Target) (ok bool, wait time.Duration) {
+	x := k.targets[c.Name]
+	if x == nil {
+		x = k.add(c.Name, c.Service)
+	}
+	if !k.isDivided(x) {
+		if x.stated.Limited && k.Clock.Since(x.statedAt) < observationTTL && x.stated.PerSecond < c.PerSecond {
+			return false, noShareRetryAfter
+		}
+		return !x.interimSent && k.isInterimSender(c), noShareRetryAfter
+	}
+	k.refill(x)
+	if x.tokens >= 1 {
+		return true, 0
+	}
+	rate := k.rate(x)
+	if rate <= 0 {
+		return false, noShareRetryAfter
+	}
+	return false, time.Duration((1 - x.tokens) / rate * float64(time.Second))
+}
+
+// takeCold is Take for a cold target. The lock is held.
+func (k *Keeper) takeCold(c cold.Target) bool {
+	if ok, _ := k.availableCold(c); !ok {
+		k.coldWithout.Add(1)
+		return false
+	}
+	x := k.targets[c.Name]
+	if k.isDivided(x) {
+		x.tokens--
+	} else {
+		x.interimSent = true
+		k.coldInterim.Add(1)
+	}
+	k.coldSent.Add(1)
+	x.sent++
+	return true
+}
+
+// IsCold reports whether the target is cold.
+func (k *Keeper) IsCold(target string) bool {
+	if k == nil {
+		return false
+	}
+	_, isCold := k.Cold.Cold(target)
+	return isCold
+}
+
+// Return gives back the token of a request that the target refused because it is for another instance.
+func (k *Keeper) Return(target string) {
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x := k.targets[target]
+	if x == nil {
+		return
+	}
+	x.sent = max(0, x.sent-1)
+	switch _, isCold := k.coldTarget(target, x); {
+	case isCold && !k.isDivided(x):
+		x.interimSent = false
+	case isCold || k.isLimited(x):
+		k.refill(x)
+		x.tokens = math.Min(x.tokens+1, k.maxTokens(x, k.rate(x)))
+	default:
+		return
+	}
+	k.returned.Add(1)
 }
 
 // isLimited reports whether the target has a limit. The lock is held.
@@ -148,7 +307,7 @@
 
 // rate returns the rate at which this process may send to a limited target. The lock is held.
 func (k *Keeper) rate(x *limited) float64 {
-	if !k.isListed(x) {
+	if !k.isListed(x) && !k.isDivided(x) {
 		return x.stated.PerSecond * apportion.InterimShare
 	}
 	// The target may have lowered its limit since it was divided.
@@ -168,6 +327,9 @@
 
 // maxTokens returns how many tokens this process may keep at the given rate. The lock is held.
 func (k *Keeper) maxTokens(x *limited, rate float64) float64 {
+	if k.isDivided(x) {
+		return x.burst
+	}
 	if !k.isListed(x) || x.perSecond <= 0 {
 		return 1
 	}
@@ -183,6 +345,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	x := k.targets[target]
+	if c, isCold := k.coldTarget(target, x); isCold {
+		ok, wait = k.availableCold(c)
+		if ok {
+			wait = 0
+		}
+		return true, ok, wait
+	}
 	if x == nil || !k.isLimited(x) {
 		return false, true, 0
 	}
@@ -205,6 +374,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	x := k.targets[target]
+	if c, isCold := k.coldTarget(target, x); isCold {
+		return k.takeCold(c)
+	}
 	if x == nil {
 		return true
 	}
@@ -254,6 +426,9 @@
 			k.logSummary()
 			continue
 		case <-claims.Chan():
+			if !k.claimDue() {
+				continue
+			}
 		case <-k.wake:
 			k.Clock.Sleep(claimDelay)
 		}
@@ -268,7 +443,7 @@
 	for name, x := range k.targets {
 		if x.sent > 0 {
 			k.Logger.WithFields(log.Fields{
-				"target": name, "perSecond": x.stated.PerSecond, "share": x.share, "sent": x.sent, "interval": summaryInterval.String(),
+				"target": name, "perSecond": x.stated.PerSecond, "cold": x.cold, "share": x.share, "sent": x.sent, "interval": summaryInterval.String(),
 			}).Info("requests to a target with a limit")
 		}
 		x.sent = 0
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -263,7 +263,8 @@
 	s := q.server
 	restarted := q.restarted
 	q.restarted = nil
-	if restarted != nil && slices.Contains(list, restarted) && s.Limits.Take(restarted.Name()) {
+	// A restarted target that is cold is used after warm ones.
+	if restarted != nil && !s.Limits.IsCold(restarted.Name()) && slices.Contains(list, restarted) && s.Limits.Take(restarted.Name()) {
 		return restarted, nil
 	}
 	limited := 0
@@ -272,6 +273,7 @@
 		limitedTarget, ok, untilToken := s.Limits.Available(list[i].Name())
 		if ok {
 			candidates[i].Limited = limitedTarget
+			candidates[i].Cold = limitedTarget && s.Limits.IsCold(list[i].Name())
 			i++
 			continue
 		}
@@ -310,7 +312,14 @@
 	if a.head.Leaving {
 		s.Targets.RecordLeaving(a.target)
 	}
-	s.Limits.Observe(a.target, a.head.Limit, a.head.HasLimit)
+	if a.head.OtherInstance {
+		s.Limits.Return(a.target.Name())
+	} else {
+		s.Limits.Observe(a.target, a.head.Limit, a.head.HasLimit)
+		if a.head.HasCold {
+			s.Limits.ObserveCold(a.target, a.head.ColdLeft)
+		}
+	}
 	if a.head.HasLoad {
 		s.Targets.RecordLoad(a.target, a.head.Load)
 	}
@@ -321,6 +330,9 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.response, maxRefusalBytes))
 		a.finish(false)
 		if a.restarted = s.Targets.Adopt(a.x.Context, a.target, a.head.Instance, a.sent); a.restarted != nil {
+			if a.head.HasCold {
+				s.Limits.ObserveCold(a.restarted, a.head.ColdLeft)
+			}
 			return notRun(rhubarbgate.CodeUnavailable, "target %s restarted as %s", a.target.Instance.ID, a.head.Instance)
 		}
 		return notRun(rhubarbgate.CodeUnavailable, "target %s refused with status %d", a.target.Instance.ID, status)
--- a/internal/policy/apportion/table.go
+++ b/internal/policy/apportion/table.go
@@ -71,6 +71,12 @@
 	Statements []Statement
 	// Demand is the rate at which the process has requests for each service.
 	Demand map[string]float64
+	// Cold is what the process knows of cold targets.
+	Cold []ColdReport `msgpack:",omitempty"`
+	// Current says that the process has a list of this leader, and Seen is the number of the newest one. The
+	// receiver sets both.
+	Current bool   `msgpack:"-"`
+	Seen    uint64 `msgpack:"-"`
 }
 
 // Holder is a process and its part of a rate.
@@ -85,6 +91,14 @@
 	Target    string
 	PerSecond float64
 	Holders   []Holder
+	// ColdLeft is for how long the target stays cold, 0 if it is not cold but stated the limit itself. The
+	// fields below are set only for cold targets.
+	ColdLeft time.Duration `msgpack:",omitempty"`
+	Service  string        `msgpack:",omitempty"`
+	// Burst is how many tokens each holder keeps at most.
+	Burst float64 `msgpack:",omitempty"`
+	// Full says that nobody had a part before, so that the holders begin with all tokens.
+	Full bool `msgpack:",omitempty"`
 }
 
 // process is the newest claim of a process.
@@ -92,6 +106,8 @@
 	beside string
 	demand map[string]float64
 	at     time.Time
+	// current says that the process has a list of this leader, and so takes none of an earlier one.
+	current bool
 }
 
 // limited is a target and how its rate is divided.
@@ -112,25 +128,38 @@
 // Table divides the rates of all targets. It is safe for concurrent use.
 type Table struct {
 	Clock clockwork.Clock
+	// Begun is when the leader began. Previous are the processes that the leader before it knew, which
+	// may hold parts of the rates of targets that were cold then.
+	Begun    time.Time
+	Previous []string
 
 	mu             sync.Mutex
 	processes      map[string]*process
 	targets        map[string]*limited
 	nextRebalances map[string]time.Time // by service
+	cold           map[string]*coldTarget
+	seenAt         map[string]time.Time // when processes that send to all targets last claimed
 }
 
 // Add merges a claim.
 func (t *Table) Add(c *Claim) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.processes == nil {
-		t.processes, t.targets, t.nextRebalances = map[string]*process{}, map[string]*limited{}, map[string]time.Time{}
-	}
+	t.initialize()
 	now := t.Clock.Now()
-	t.processes[c.Process] = &process{beside: c.Beside, demand: c.Demand, at: now}
+	t.processes[c.Process] = &process{beside: c.Beside, demand: c.Demand, at: now, current: c.Current}
 	for _, s := range c.Statements {
 		t.addStatement(c.Process, s, now)
 	}
+	t.addCold(c, now)
+}
+
+// initialize makes the maps. The lock is held.
+func (t *Table) initialize() {
+	if t.processes == nil {
+		t.processes, t.targets, t.nextRebalances = map[string]*process{}, map[string]*limited{}, map[string]time.Time{}
+		t.cold, t.seenAt = map[string]*coldTarget{}, map[string]time.Time{}
+	}
 }
 
 // addStatement merges what a response stated. The lock is held.
@@ -158,7 +187,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.update(t.Clock.Now())
-	var r []Limit
+	r := t.coldLimits()
 	for _, name := range slices.Sorted(maps.Keys(t.targets)) {
 		x := t.targets[name]
 		if x.holders == nil {
@@ -170,6 +199,7 @@
 		}
 		r = append(r, l)
 	}
+	slices.SortFunc(r, func(a, b Limit) int { return cmp.Compare(a.Target, b.Target) })
 	return r
 }
 
@@ -180,7 +210,8 @@
 	services := map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(t.targets)) {
 		x := t.targets[name]
-		if !x.limited {
+		if !x.limited || t.cold[name] != nil {
+			// While the target is cold, its holders are those of that rate.
 			x.holders, x.held = nil, map[string]float64{}
 			continue
 		}
@@ -192,6 +223,7 @@
 			t.divide(name, x)
 		}
 	}
+	t.updateCold(now, services)
 	for s := range services {
 		if !now.Before(t.nextRebalances[s]) {
 			t.nextRebalances[s] = now.Add(rebalanceInterval)
@@ -302,6 +334,11 @@
 			assigned += x.holders[process]
 		}
 	}
+	for _, x := range t.cold {
+		if x.service == service {
+			assigned += x.holders[process]
+		}
+	}
 	return assigned / max(t.processes[process].demand[service], minDemand)
 }
 
@@ -327,7 +364,7 @@
 		if satisfied[giver] < rebalanceRatio*satisfied[least] || satisfied[giver] == 0 {
 			return
 		}
-		if t.move(service, giver, least, satisfied) {
+		if t.move(service, giver, least, satisfied) || t.moveCold(service, giver, least, satisfied) {
 			return
 		}
 	}
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -23,6 +23,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
+	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
 	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
@@ -30,6 +31,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
 
 // Direct is an entry that sends requests directly to the targets of the platform's
@@ -105,14 +107,17 @@
 	controls := &control.Client{Wire: d.Wire, Hosts: d.Control, Clock: d.Clock}
 	stores := &control.Client{Wire: d.Wire, Clock: d.Clock}
 	table := d.table()
+	table.Cold = &cold.Tracker{Clock: d.Clock, Logger: d.Logger}
 	table.Versions = &versions.History{Clock: d.Clock}
 	origins := streams.NewKeeper(d.Wire, d.Clock, table.Versions, d.Metrics)
 	origins.Refresh = table.Refresh
 	keeper := targetlimits.NewKeeper(name, controls, d.Clock, d.Logger, d.Metrics)
+	keeper.Cold = table.Cold
 	recorder := crashes.NewRecorder(table, controls, d.Clock, d.Logger, d.Metrics)
 	watcher := &configuration.Watcher{
 		OnTargets: table.Update, OnQuarantine: recorder.Update, OnTargetLimits: keeper.Update,
-		Wire: d.Wire, Parents: d.Control, Clock: d.Clock, Random: derivedRandom(d.Random, 1), Logger: d.Logger,
+		OnApplied: func(c *config.Config) { table.Cold.SetServices(c.Services) },
+		Wire:      d.Wire, Parents: d.Control, Clock: d.Clock, Random: derivedRandom(d.Random, 1), Logger: d.Logger,
 		Failures: newCounter(d.Metrics, "ConfigPollFailures"),
 		OnPeers: func(p control.Peers) {
 			controls.SetHosts(p.Controls)
@@ -128,7 +133,7 @@
 	exchange.Start()
 	d.server = &ingress.Server{
 		Dialect: d.Dialect, Source: watcher, Holder: exchange.Holder, Targets: table, Crashes: recorder, Limits: keeper, Streams: origins, Stores: stores,
-		Picker: &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
+		Picker: &pick.WarmFirst{Picker: &pick.LeastRequests{Random: derivedRandom(d.Random, 2)}}, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
 	d.server.Prepare()
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -28,6 +28,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/order"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
@@ -139,9 +140,10 @@
 	fleet         *fleet.Machine // nil on store hosts
 	targets       atomic.Pointer[timedTargetList]
 	quarantine    published[control.Quarantine, quarantine.Table]
-	limits        published[[]apportion.Limit, apportion.Table]
+	limits        published[limitList, apportion.Table]
+	cold          *cold.Tracker // nil on store hosts
 	streams       streams.Memory
-	nextLimitsAt  time.Time     // when updateTargetLimits next reads the table
+	nextLimitsAt  time.Time     // when publishTargetLimits next reads the table; guarded by limits.mu
 	groups        []*raft.Group // by group ID; the fleet group is nil on store hosts
 	jobGroups     []*leadership // by group ID - 1
 	transport     *peer.Transport
@@ -177,6 +179,8 @@
 		h.followConfiguration()
 		h.groups = append(h.groups, nil)
 	} else {
+		h.cold = &cold.Tracker{Clock: h.Clock, Logger: h.Logger}
+		h.Metrics.Set("TargetsCold", expvar.Func(func() any { return len(h.cold.Targets()) }))
 		h.streams.Clock, h.streams.History = h.Clock, &versions.History{Clock: h.Clock}
 		h.Metrics.Set("StreamsKept", expvar.Func(func() any { return h.streams.Len() }))
 		h.fleet = fleet.New()
--- a/internal/role/replica/roster.go
+++ b/internal/role/replica/roster.go
@@ -117,9 +117,10 @@
 	h.roster.mu.Lock()
 	h.roster.reply, h.roster.replyAt = r, sent
 	h.roster.mu.Unlock()
+	// The division of a cold target's rate has to be served before the list that shows the target.
+	h.applyTargetLimits(r.Limits)
 	h.applyTargets(r.Targets, sent)
 	h.applyQuarantine(r.Quarantine, sent)
-	h.applyTargetLimits(r.Limits, sent)
 	controls := addresses(r.Hosts, fleet.ControlHost)
 	h.client.SetHosts(controls)
 	if h.ControlHostsUpdated != nil {
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -137,9 +137,11 @@
 	}
 	if old != nil && old.list.Digest == list.Digest {
 		x.list = old.list
+		x.list.ReadLag += x.at.Sub(old.at)
 	} else if len(list.Instances) == 0 {
 		return // the list that the leader left out was replaced meanwhile
 	}
+	h.observeCold(x.list.Current(), x.at)
 	h.replaceTargets(x)
 }
 
@@ -154,12 +156,35 @@
 		leaving = -1
 	}
 	return cmp.Or(cmp.Compare(a.ID, b.ID), a.Address.Compare(b.Address), cmp.Compare(a.Service, b.Service),
-		cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.Slots, b.Slots), cmp.Compare(a.Version, b.Version), leaving)
+		cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.Slots, b.Slots), cmp.Compare(a.Version, b.Version), leaving, cmp.Compare(a.ColdLeft, b.ColdLeft))
 }
 
-// setTargets stores a list that was read from the platform.
+// coldTolerance is by how much the cold times of two lists may differ beyond the time between them. The
+// lag of the list varies.
+const coldTolerance = 300 * time.Millisecond
+
+// sameButForTime reports whether two lists of the same instances differ only in cold times that run out.
+func sameButForTime(a, b []rhubarbgate.Instance) bool {
+	return slices.EqualFunc(a, b, func(x, y rhubarbgate.Instance) bool {
+		difference := (x.ColdLeft - y.ColdLeft).Abs()
+		x.ColdLeft = y.ColdLeft
+		return x == y && difference <= coldTolerance
+	})
+}
+
+// setTargets stores a list that was read from the platform. A list that differs from the current one only
+// in that cold times went on running out confirms that one, so that it is not sent again.
 func (h *Host) setTargets(list []rhubarbgate.Instance, at time.Time) {
 	slices.SortFunc(list, compareInstances)
+	h.observeCold(list, at)
+	if old := h.targets.Load(); old != nil {
+		x := &timedTargetList{list: old.list, at: at}
+		x.list.ReadLag += at.Sub(old.at)
+		if sameButForTime(x.list.Current(), list) && slices.ContainsFunc(old.list.Instances, func(i rhubarbgate.Instance) bool { return i.ColdLeft > 0 }) {
+			h.replaceTargets(x)
+			return
+		}
+	}
 	b, err := wire.Marshal(list)
 	if err != nil {
 		// Unreachable: the type has only strings, numbers and addresses.
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -24,6 +24,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
@@ -195,6 +196,9 @@
 		controls := &control.Client{Wire: h.wire, Hosts: h.Parents, Clock: h.Clock}
 		h.crashes = crashes.NewRecorder(h.Targets, controls, h.Clock, h.Logger, h.Metrics)
 		h.limits = targetlimits.NewKeeper(strconv.FormatUint(h.Random.Uint64(), 36), controls, h.Clock, h.Logger, h.Metrics)
+		h.Targets.Cold = &cold.Tracker{Clock: h.Clock, Logger: h.Logger}
+		h.limits.Cold = h.Targets.Cold
+		h.watcher.OnApplied = func(c *config.Config) { h.Targets.Cold.SetServices(c.Services) }
 		h.limits.Beside, h.limits.HasWork = h.targetName, func() bool { return h.worker.hadItems() }
 		h.watcher.OnPeers = func(p control.Peers) {
 			h.control.SetHosts(p.Stores)
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -248,7 +248,14 @@
 func (w *worker) checkHead(a *target.Response, i rhubarbgate.Instance, sent time.Time) *rhubarbgate.Error {
 	head := w.host.Dialect.DecodeResponse(a.Status, a.Header)
 	if x := w.host.Targets.Target(i); x != nil {
-		w.host.limits.Observe(x, head.Limit, head.HasLimit)
+		if head.OtherInstance {
+			w.host.limits.Return(x.Name())
+		} else {
+			w.host.limits.Observe(x, head.Limit, head.HasLimit)
+			if head.HasCold {
+				w.host.limits.ObserveCold(x, head.ColdLeft)
+			}
+		}
 		if !head.NotRun {
 			x.RecordRun(sent)
 		}
--- a/internal/role/side/worker.go
+++ b/internal/role/side/worker.go
@@ -210,6 +210,12 @@
 	ok, _ := w.host.limitAvailable()
 	now := w.clock.Now()
 	switch {
+	case w.host.Probe != nil && w.host.limits.IsCold(w.host.targetName()):
+		// Each item needs a token of its own.
+		if ok && len(w.queued) == 0 {
+			return 1
+		}
+		return 0
 	case ok:
 		return w.host.Slots
 	case now.Sub(w.leasedAt) < workTTL || now.Sub(w.askedAt) < askInterval:
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -109,10 +110,16 @@
 type TargetLimits struct {
 	Version LeaderVersion
 	Limits  []apportion.Limit
+	// Processes are those that send to all targets, empty if no target can be cold or none are known.
+	Processes []string `msgpack:",omitempty"`
 }
 
 // ClaimLimits claims parts of the targets' limits from the leader of the fleet group.
-type ClaimLimits struct{ Claim apportion.Claim }
+type ClaimLimits struct {
+	Claim apportion.Claim
+	// Version is that of the list that the claiming process has.
+	Version LeaderVersion
+}
 
 // ClaimLimitsReply is the reply to ClaimLimits. The limits follow with polls.
 type ClaimLimitsReply struct{ Routing }
@@ -212,6 +219,22 @@
 	Age time.Duration
 	// Instances is empty if the polling process holds the list with this digest.
 	Instances []rhubarbgate.Instance
+	// ReadLag is how long before the list was requested last its cold times were read. They run out
+	// without another digest.
+	ReadLag time.Duration `msgpack:",omitempty"`
+}
+
+// Current returns the instances with their cold times as of when the list was requested.
+func (l *TargetList) Current() []rhubarbgate.Instance {
+	isCold := func(x rhubarbgate.Instance) bool { return x.ColdLeft > 0 }
+	if l.ReadLag <= 0 || !slices.ContainsFunc(l.Instances, isCold) {
+		return l.Instances
+	}
+	list := slices.Clone(l.Instances)
+	for i := range list {
+		list[i].ColdLeft = max(0, list[i].ColdLeft-l.ReadLag)
+	}
+	return list
 }
 
 // Peers are the addresses of the hosts that keep replicated state, as known to the
--- a/internal/state/config/finite.go
+++ b/internal/state/config/finite.go
@@ -27,6 +27,9 @@
 	for i, x := range b.Put.Objectives {
 		v.finite(fmt.Sprintf("Put.Objectives[%d].Goal", i), x.Goal)
 	}
+	for i, x := range b.Put.Services {
+		v.finite(fmt.Sprintf("Put.Services[%d].ColdPerSecond", i), x.ColdPerSecond)
+	}
 	return v.err()
 }
 
--- a/internal/state/config/full.go
+++ b/internal/state/config/full.go
@@ -23,9 +23,19 @@
 		v.check(x.Name != "", field+".Name", "is empty")
 		v.check(x.Rate >= 0 && x.Burst >= 0, field+".Rate", "or Burst is negative")
 	}
+	v.services(b.Put.Services)
 	return v.err()
 }
 
+// services checks the figures of services.
+func (v *validation) services(list []rhubarbgate.Service) {
+	for i, x := range list {
+		field := fmt.Sprintf("Put.Services[%d] %q", i, x.Name)
+		v.check(x.ColdStart >= 0, field, "has a cold start of %v", x.ColdStart)
+		v.check(x.ColdPerSecond >= 0, field, "takes %v requests a second from cold targets", x.ColdPerSecond)
+	}
+}
+
 // routes checks all routes of a full configuration, which must differ in name and
 // in path and refer to its services.
 func (v *validation) routes(list []rhubarbgate.Route) {
--- a/internal/state/config/validate.go
+++ b/internal/state/config/validate.go
@@ -36,6 +36,7 @@
 	for i, x := range b.Put.Objectives {
 		v.objective(fmt.Sprintf("Put.Objectives[%d]", i), x)
 	}
+	v.services(b.Put.Services)
 	v.removals(b.Remove)
 	return v.err()
 }
--- a/picker.go
+++ b/picker.go
@@ -28,6 +28,9 @@
 	Connected bool
 	// Limited says that the target states a limit, of which this entry has a token left.
 	Limited bool
+	// Cold says that the target started a short time ago and takes few requests, of which this entry
+	// may send one.
+	Cold bool
 	// Latency is this entry's moving average of the target's latency: the time to the
 	// first data of a response and, for streams, the gaps between tokens.
 	Latency time.Duration
--- a/route.go
+++ b/route.go
@@ -35,8 +35,16 @@
 	// Slots is the number of requests that a target runs concurrently; 0 means
 	// the number in the platform's list.
 	Slots int `json:",omitempty"`
+	// ColdStart is how long a target that started during traffic is cold, and ColdPerSecond the rate
+	// of requests that it takes from all processes together until then. If either is 0, the service's
+	// targets are never cold.
+	ColdStart     time.Duration `json:",omitempty"`
+	ColdPerSecond float64       `json:",omitempty"`
 }
 
+// HasColdTargets reports whether targets of the service may be cold.
+func (s *Service) HasColdTargets() bool { return s.ColdStart > 0 && s.ColdPerSecond > 0 }
+
 // CallerLimits bound the size of a caller's request and the time to send it. Only
 // BodyBytes is enforced; entries have fixed limits for the rest.
 type CallerLimits struct {
