--- a/internal/policy/apportion/cold.go
+++ b/internal/policy/apportion/cold.go
@@ -1,11 +1,14 @@
 package apportion
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 )
 
@@ -225,6 +228,31 @@
 	return ""
 }
 
+// coldCandidates returns the processes that send to all targets: first those that would have the least of what they want
+// with another part. Among equals the order differs from target to target. The lock is held.
+func (t *Table) coldCandidates(name string, x *coldTarget) []string {
+	type candidate struct {
+		name      string
+		satisfied float64
+		order     uint64
+	}
+	var list []candidate
+	for p, c := range t.processes {
+		if c.beside == "" {
+			satisfied := t.satisfied(p, x.service) + x.share/max(c.demand[x.service], minDemand)
+			list = append(list, candidate{p, satisfied, xxhash.Sum64String(name + p)})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.satisfied, b.satisfied), cmp.Compare(a.order, b.order))
+	})
+	names := make([]string, len(list))
+	for i, c := range list {
+		names[i] = c.name
+	}
+	return names
+}
+
 // assign gives the free parts of a cold target's rate to processes: to the one beside the target, then to
 // those with the least of what they want. The lock is held.
 func (t *Table) assign(name string, x *coldTarget) {
@@ -238,7 +266,7 @@
 	if free <= 0 {
 		return
 	}
-	candidates := t.candidates(name, &limited{service: x.service}, nil)
+	candidates := t.coldCandidates(name, x)
 	if beside := t.besideOf(name); beside != "" {
 		candidates = slices.Insert(candidates, 0, beside)
 	}
@@ -278,14 +306,14 @@
 	x.withdrawn[holder], x.full = 0, false
 }
 
-// moveCold withdraws a part of a cold target's rate from one process, so that it goes to another one, under
-// the conditions of move. It reports whether it did. The lock is held.
+// moveCold withdraws a part of a cold target's rate from one process, so that it goes to another one, unless that
+// would only exchange which of them has more. It reports whether it did. The lock is held.
 func (t *Table) moveCold(service, giver, taker string, satisfied map[string]float64) bool {
-	demand := max(t.processes[giver].demand[service], minDemand)
+	demand := max(t.processes[taker].demand[service], minDemand)
 	for _, name := range slices.Sorted(maps.Keys(t.cold)) {
 		x := t.cold[name]
 		share := x.holders[giver]
-		if x.service != service || share == 0 || x.holders[taker] > 0 || len(x.withdrawn) > 0 || satisfied[giver]-share/demand < satisfied[taker] {
+		if x.service != service || share == 0 || x.holders[taker] > 0 || len(x.withdrawn) > 0 || satisfied[taker]+share/demand >= satisfied[giver] {
 			continue
 		}
 		x.withdraw(giver)
