side: the health of a target that came up is checked once; cold targets are used when warm ones are full

Cause: the list shows the start of a target 0.8 s late and its end of the cold time as late. Change: a side asks its target at the service's health path after it was down, and once when only the list says that it is cold, and reports that to the leader. Entries use a cold target with a token if no recent report of a warm one shows room. Result: the leader can divide the rate before the list shows the target.

--- a/dialect.go
+++ b/dialect.go
@@ -157,6 +157,11 @@
 	List(ctx context.Context) (list []Instance, unreadable int, err error)
 }
 
+// HealthProbe reads what a target states at the health path of its service.
+type HealthProbe interface {
+	Health(ctx context.Context, path string) (TargetResponse, error)
+}
+
 // EngineProbe reads the load that a target's inference engine reports.
 type EngineProbe interface {
 	Load(ctx context.Context) (TargetLoad, error)
--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -113,9 +113,10 @@
 		Control: replacePorts(a.control, s.direct.fleetPort), Parents: replacePorts(a.parents, s.direct.fleetPort),
 		Clock: boottime.New(), Random: newRandom(0), Logger: newLogger(os.Stdout, "side"), Metrics: newMetrics("Side"), AddressReuseDelay: s.reuseDelay,
 		MaxAge: s.maxAge, Grace: s.grace, Dialect: platform.Dialect{}, Dialer: socket.Dialer(fleetDialTimeout),
-		// A report of some milliseconds ago, which may come late, serves as well.
-		Probe: &platform.Engine{Client: &target.Client{Address: t, Dialer: socket.Dialer(fleetDialTimeout), KeepUnidentified: true}},
 	}
+	// A report of some milliseconds ago, which may come late, serves as well.
+	engine := &platform.Engine{Client: &target.Client{Address: t, Dialer: socket.Dialer(fleetDialTimeout), KeepUnidentified: true}}
+	h.Probe, h.Health = engine, engine
 	h.Targets = &discovery.Table{
 		Directory: s.direct.directory(&v), Clock: h.Clock, Logger: h.Logger, AvailabilityZone: s.availabilityZone,
 		Failures: newCounter(h.Metrics, "ListFailures"), Unreadable: newCounter(h.Metrics, "ListEntriesUnreadable"),
--- a/internal/controller/discovery/table.go
+++ b/internal/controller/discovery/table.go
@@ -454,7 +454,7 @@
 		Connected: x.Client.HasIdle(idempotent),
 	}
 	if r := x.load.Load(); r != nil && now.Sub(r.at) < loadReportTTL {
-		c.Reported, c.Queued = r.Running, r.Waiting
+		c.Reported, c.Queued, c.HasReport = r.Running, r.Waiting, true
 	}
 	return c
 }
--- a/internal/controller/targetlimits/claim.go
+++ b/internal/controller/targetlimits/claim.go
@@ -66,9 +66,11 @@
 		}
 		c.Statements = append(c.Statements, s)
 	}
-	if len(k.targets) == 0 && !k.Cold.Enabled() || !wantsWork {
+	isStated := slices.ContainsFunc(c.Cold, func(r apportion.ColdReport) bool { return r.Stated })
+	if len(k.targets) == 0 && !k.Cold.Enabled() || !wantsWork && !isStated {
 		return nil
 	}
+	c.Idle = !wantsWork
 	k.claimedAt = now
 	for service, d := range k.demand {
 		d.decay(now)
--- a/internal/controller/targetlimits/keeper.go
+++ b/internal/controller/targetlimits/keeper.go
@@ -36,6 +36,9 @@
 	// noShareRetryAfter is the Retry-After if this process has no share of any target: the time
 	// until the control hosts may have given it one.
 	noShareRetryAfter = time.Second
+	// coldNewsTolerance is by how much a stated cold time has to differ from the known one to be reported at
+	// once.
+	coldNewsTolerance = 100 * time.Millisecond
 	// demandHalfLife is the time in which past demand halves.
 	demandHalfLife = 2 * time.Second
 )
@@ -156,27 +159,26 @@
 	x.statedAt = k.Clock.Now()
 }
 
-// ObserveCold records for how long a response of a target says that it stays cold.
-func (k *Keeper) ObserveCold(t *discovery.Target, left time.Duration) {
+// ObserveCold records for how long a response of the target with this name says that it stays cold.
+func (k *Keeper) ObserveCold(name, service string, left time.Duration) {
 	if k == nil || !k.Cold.Enabled() {
 		return
 	}
 	now := k.Clock.Now()
-	name := t.Name()
-	_, before := k.Cold.Cold(name)
-	k.Cold.ObserveResponse(name, t.Instance.Service, left, now)
-	_, after := k.Cold.Cold(name)
+	before, _ := k.Cold.Cold(name)
+	k.Cold.ObserveResponse(name, service, left, now)
+	after, _ := k.Cold.Cold(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	x := k.targets[name]
 	if x == nil {
-		if !before && !after {
+		if before.Left == 0 && after.Left == 0 {
 			return
 		}
-		x = k.add(name, t.Instance.Service)
+		x = k.add(name, service)
 	}
 	x.coldLeft, x.coldAt = left, now
-	if before != after {
+	if (before.Left - after.Left).Abs() > coldNewsTolerance {
 		k.signal()
 	}
 }
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -317,7 +317,7 @@
 	} else {
 		s.Limits.Observe(a.target, a.head.Limit, a.head.HasLimit)
 		if a.head.HasCold {
-			s.Limits.ObserveCold(a.target, a.head.ColdLeft)
+			s.Limits.ObserveCold(a.target.Name(), a.target.Instance.Service, a.head.ColdLeft)
 		}
 	}
 	if a.head.HasLoad {
@@ -331,7 +331,7 @@
 		a.finish(false)
 		if a.restarted = s.Targets.Adopt(a.x.Context, a.target, a.head.Instance, a.sent); a.restarted != nil {
 			if a.head.HasCold {
-				s.Limits.ObserveCold(a.restarted, a.head.ColdLeft)
+				s.Limits.ObserveCold(a.restarted.Name(), a.restarted.Instance.Service, a.head.ColdLeft)
 			}
 			return notRun(rhubarbgate.CodeUnavailable, "target %s restarted as %s", a.target.Instance.ID, a.head.Instance)
 		}
--- a/internal/policy/apportion/table.go
+++ b/internal/policy/apportion/table.go
@@ -71,6 +71,8 @@
 	Statements []Statement
 	// Demand is the rate at which the process has requests for each service.
 	Demand map[string]float64
+	// Idle says that the process wants no part.
+	Idle bool `msgpack:",omitempty"`
 	// Cold is what the process knows of cold targets.
 	Cold []ColdReport `msgpack:",omitempty"`
 	// Current says that the process has a list of this leader, and Seen is the number of the newest one. The
@@ -147,7 +149,9 @@
 	defer t.mu.Unlock()
 	t.initialize()
 	now := t.Clock.Now()
-	t.processes[c.Process] = &process{beside: c.Beside, demand: c.Demand, at: now, current: c.Current}
+	if !c.Idle {
+		t.processes[c.Process] = &process{beside: c.Beside, demand: c.Demand, at: now, current: c.Current}
+	}
 	for _, s := range c.Statements {
 		t.addStatement(c.Process, s, now)
 	}
--- a/internal/policy/cold/tracker.go
+++ b/internal/policy/cold/tracker.go
@@ -37,6 +37,8 @@
 	service string
 	version string
 	leaving bool
+	// listed says that a list showed the target, and gone that the newest one does not any more.
+	listed, gone bool
 	// appeared is when the target was first seen, if that was during traffic and no cold time has been
 	// stated since; it is cold for the time that its service sets.
 	appeared time.Time
@@ -109,10 +111,11 @@
 			}
 		}
 		y := previous[n]
-		appeared := y == nil && t.listed
+		appeared := t.listed && (y == nil || y.gone)
 		if y == nil {
-			y = &target{service: x.Service, version: x.Version}
+			y = &target{version: x.Version}
 		}
+		y.service, y.listed, y.gone = x.Service, true, false
 		// The instance may restart under its ID, with other software or after it was leaving.
 		restarted := y.version != "" && x.Version != "" && x.Version != y.version || y.leaving && !x.Leaving
 		y.version, y.leaving = x.Version, x.Leaving
@@ -126,6 +129,13 @@
 			t.state(n, y, x.ColdLeft, requestedAt, asOf, "list")
 		}
 	}
+	for n, y := range previous {
+		// A target that is not listed yet, or is back in the next list, is still cold.
+		if t.targets[n] == nil && t.until(y).After(t.Clock.Now()) {
+			y.gone = y.listed
+			t.targets[n] = y
+		}
+	}
 	t.listed = true
 	t.updateHorizon()
 }
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -132,3 +132,32 @@
 		})
 	}
 }
+
+// TestWarmFirst guards against using cold targets, which are slow and take few requests, while warm ones have
+// room, and against leaving them unused while warm ones have none.
+func TestWarmFirst(t *testing.T) {
+	cold := rhubarbgate.Candidate{Name: "cold", Slots: 8, Cold: true, Limited: true}
+	idle := rhubarbgate.Candidate{Name: "idle", Slots: 8, HasReport: true, Reported: 2, InFlight: 1}
+	full := rhubarbgate.Candidate{Name: "full", Slots: 8, HasReport: true, Reported: 8, Queued: 2}
+	unknown := rhubarbgate.Candidate{Name: "unknown", Slots: 8}
+	ownFull := rhubarbgate.Candidate{Name: "ownFull", Slots: 8, InFlight: 8}
+	tests := []struct {
+		name       string
+		candidates []rhubarbgate.Candidate
+		want       string
+	}{
+		{"only cold", []rhubarbgate.Candidate{cold}, "cold"},
+		{"no cold one", []rhubarbgate.Candidate{full, idle}, "idle"},
+		{"warm one has room", []rhubarbgate.Candidate{cold, full, idle}, "idle"},
+		{"warm ones are full", []rhubarbgate.Candidate{full, cold, full}, "cold"},
+		{"nothing is known of the warm ones", []rhubarbgate.Candidate{cold, unknown}, "unknown"},
+		{"those with a report are full", []rhubarbgate.Candidate{cold, unknown, full}, "cold"},
+		{"filled by this entry", []rhubarbgate.Candidate{ownFull, cold}, "cold"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := &WarmFirst{Picker: &LeastRequests{Random: rand.New(rand.NewPCG(1, 1))}}
+			qt.Assert(t, test.candidates[p.Pick(rhubarbgate.PickRequest{}, test.candidates)].Name, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/policy/pick/warm.go
+++ b/internal/policy/pick/warm.go
@@ -13,28 +13,41 @@
 
 // Pick implements rhubarbgate.Picker.
 func (w *WarmFirst) Pick(r rhubarbgate.PickRequest, c []rhubarbgate.Candidate) int {
-	cold, room := 0, false
+	warmCount := 0
 	for _, x := range c {
-		if x.Cold {
-			cold++
-		} else if hasRoom(x) {
-			room = true
+		if !x.Cold {
+			warmCount++
 		}
 	}
-	if cold == 0 || cold == len(c) {
+	if warmCount == 0 || warmCount == len(c) {
 		return w.Picker.Pick(r, c)
 	}
+	useWarm := warmHaveRoom(c)
 	var list []rhubarbgate.Candidate
 	var indexes []int
 	for i, x := range c {
-		if x.Cold != room {
+		if x.Cold != useWarm {
 			list, indexes = append(list, x), append(indexes, i)
 		}
 	}
 	return indexes[w.Picker.Pick(r, list)]
 }
 
-// hasRoom reports whether a slot of the target is likely to be free.
-func hasRoom(c rhubarbgate.Candidate) bool {
-	return max(c.InFlight, c.Reported)+c.Queued < max(c.Slots, 1)
+// warmHaveRoom reports whether a slot is likely to be free at a warm candidate. An entry has recent reports of some
+// only; what they show is taken to hold for the others, as all entries spread requests evenly.
+func warmHaveRoom(c []rhubarbgate.Candidate) bool {
+	reported, unreported := false, false
+	for _, x := range c {
+		slots := max(x.Slots, 1)
+		switch {
+		case x.Cold:
+		case x.HasReport && max(x.InFlight, x.Reported)+x.Queued < slots:
+			return true
+		case x.HasReport:
+			reported = true
+		case x.InFlight < slots:
+			unreported = true
+		}
+	}
+	return unreported && !reported
 }
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -66,7 +66,9 @@
 // pollLoad probes the target's load until ctx ends.
 func (h *Host) pollLoad(ctx context.Context) {
 	for ctx.Err() == nil {
+		wasDown := h.targetDown.Load()
 		h.probeLoad(ctx)
+		h.checkHealth(ctx, wasDown && !h.targetDown.Load())
 		interval := idleProbeInterval
 		if h.worker.hasTasks() {
 			interval = busyProbeInterval
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -87,6 +87,8 @@
 	// through this side, the gate decides by the probed load, and items come from
 	// store hosts.
 	Probe rhubarbgate.EngineProbe
+	// Health, if set, reads for how long a target stays cold.
+	Health rhubarbgate.HealthProbe
 	// Dialect encodes items for the target if Probe is set.
 	Dialect rhubarbgate.Dialect
 	// Targets lists the targets of the platform if Probe is set.
@@ -110,6 +112,7 @@
 	crashes        *crashes.Recorder    // nil without a Probe
 	limits         *targetlimits.Keeper // nil without a Probe
 	presence       *discovery.Presence  // nil without a Probe
+	health         healthCheck
 	leaving        atomic.Bool
 	targetDown     atomic.Bool
 	activeRequests atomic.Int64
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -253,7 +253,7 @@
 		} else {
 			w.host.limits.Observe(x, head.Limit, head.HasLimit)
 			if head.HasCold {
-				w.host.limits.ObserveCold(x, head.ColdLeft)
+				w.host.limits.ObserveCold(x.Name(), x.Instance.Service, head.ColdLeft)
 			}
 		}
 		if !head.NotRun {
--- a/internal/state/config/full.go
+++ b/internal/state/config/full.go
@@ -32,6 +32,7 @@
 	for i, x := range list {
 		field := fmt.Sprintf("Put.Services[%d] %q", i, x.Name)
 		v.check(x.ColdStart >= 0, field, "has a cold start of %v", x.ColdStart)
+		v.check(x.HealthPath == "" || strings.HasPrefix(x.HealthPath, "/"), field, "has the health path %q, which does not begin with a slash", x.HealthPath)
 		v.check(x.ColdPerSecond >= 0, field, "takes %v requests a second from cold targets", x.ColdPerSecond)
 	}
 }
--- a/picker.go
+++ b/picker.go
@@ -22,6 +22,8 @@
 	// Queued is the number of requests queued for a slot as of the same report, if
 	// Reported does not include them.
 	Queued int
+	// HasReport says that Reported and Queued are from a recent report.
+	HasReport bool
 	// Wait is the target's estimate of how long a new request is queued.
 	Wait time.Duration
 	// Connected says that an open connection to the target can carry the request.
--- a/route.go
+++ b/route.go
@@ -40,6 +40,8 @@
 	// targets are never cold.
 	ColdStart     time.Duration `json:",omitempty"`
 	ColdPerSecond float64       `json:",omitempty"`
+	// HealthPath is where a target states for how long it stays cold; it is set only if targets may be cold.
+	HealthPath string `json:",omitempty"`
 }
 
 // HasColdTargets reports whether targets of the service may be cold.
