--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -210,7 +210,7 @@
 	if changed {
 		w.targets = *list
 	} else {
-		w.targets.ReadLag += at.Sub(w.targetsRequestedAt)
+		w.targets = w.targets.Confirmed(at.Sub(w.targetsRequestedAt))
 	}
 	w.targetsRequestedAt = at
 	if w.OnTargets != nil {
--- a/internal/controller/targetlimits/keeper_test.go
+++ b/internal/controller/targetlimits/keeper_test.go
@@ -15,6 +15,7 @@
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
+	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
 
@@ -171,3 +172,115 @@
 		qt.Check(t, kept >= min(perSecond, 1), qt.IsTrue)
 	}
 }
+
+// TestTokensOfRefusedRequests guards against tokens that are spent on requests which a target refused because they were for
+// another instance: those do not count.
+func TestTokensOfRefusedRequests(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock)
+	}{
+		{"stated limit", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
+			k.Update(limits(x, 1, 1, 0.5))
+			clock.Advance(2 * time.Second)
+		}},
+		{"cold", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
+			l := limits(x, 1, 1, 1)
+			l.Limits[0].ColdLeft, l.Limits[0].Burst, l.Limits[0].Service = time.Minute, 1, "lm"
+			k.Update(l)
+			clock.Advance(2 * time.Second)
+		}},
+		{"cold, before the division", func(k *Keeper, x *discovery.Target, clock *clockwork.FakeClock) {
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 1}, Processes: []string{"me"}})
+			k.Cold.ObserveResponse(x.Name(), "lm", time.Minute, clock.Now())
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			k, x, clock := newTestKeeper()
+			k.Cold = &cold.Tracker{Clock: clock, Logger: k.Logger}
+			k.Cold.SetServices(map[string]rhubarbgate.Service{"lm": {ColdStart: time.Minute, ColdPerSecond: 12}})
+			test.act(k, x, clock)
+			for range 5 {
+				qt.Assert(t, k.Take(x.Name()), qt.IsTrue)
+				qt.Assert(t, k.Take(x.Name()), qt.IsFalse)
+				k.Return(x.Name())
+			}
+			qt.Assert(t, k.Take(x.Name()), qt.IsTrue)
+			qt.Assert(t, k.Take(x.Name()), qt.IsFalse)
+		})
+	}
+}
+
+// TestColdTargetsWithoutToken guards against requests to a cold target of processes that have not been told how its rate is
+// divided, or among how many.
+func TestColdTargetsWithoutToken(t *testing.T) {
+	tests := []struct {
+		name      string
+		processes []string
+		beside    bool
+		want      int // requests in a minute
+	}{
+		{"no list of processes", nil, false, 0},
+		{"not in the list", []string{"other"}, false, 0},
+		{"in the list", []string{"me", "other"}, false, 1},
+		{"a side", []string{"me"}, true, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			k, x, clock := newTestKeeper()
+			k.Cold = &cold.Tracker{Clock: clock, Logger: k.Logger}
+			k.Cold.SetServices(map[string]rhubarbgate.Service{"lm": {ColdStart: time.Minute, ColdPerSecond: 12}})
+			if test.beside {
+				k.Beside = x.Name
+			}
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 1}, Processes: test.processes})
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 2}})
+			k.Cold.ObserveResponse(x.Name(), "lm", time.Minute, clock.Now())
+			sent := 0
+			for range 59 {
+				_, ok, _ := k.Available(x.Name())
+				qt.Assert(t, k.Take(x.Name()), qt.Equals, ok)
+				if ok {
+					sent++
+				}
+				clock.Advance(time.Second)
+			}
+			qt.Assert(t, sent, qt.Equals, test.want)
+			clock.Advance(time.Second)
+			qt.Assert(t, k.Take(x.Name()), qt.IsTrue, qt.Commentf("the target is warm"))
+		})
+	}
+}
+
+// TestFirstTokensOfColdTargets guards against a second bucket of tokens for one part of a cold target's rate: for a process that
+// gets another one's part, or has already sent a request before it knew the division.
+func TestFirstTokensOfColdTargets(t *testing.T) {
+	tests := []struct {
+		name          string
+		full, interim bool
+		want          bool
+	}{
+		{"nobody had a part", true, false, true},
+		{"part of another process", false, false, false},
+		{"after a request before the division", true, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			k, x, clock := newTestKeeper()
+			k.Cold = &cold.Tracker{Clock: clock, Logger: k.Logger}
+			k.Cold.SetServices(map[string]rhubarbgate.Service{"lm": {ColdStart: time.Minute, ColdPerSecond: 12}})
+			k.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 1}, Processes: []string{"me"}})
+			if test.interim {
+				k.Cold.ObserveResponse(x.Name(), "lm", time.Minute, clock.Now())
+				qt.Assert(t, k.Take(x.Name()), qt.IsTrue)
+			}
+			l := limits(x, 1, 2, 2)
+			l.Limits[0].ColdLeft, l.Limits[0].Burst, l.Limits[0].Service, l.Limits[0].Full = time.Minute, 1, "lm", test.full
+			k.Update(l)
+			qt.Assert(t, k.Take(x.Name()), qt.Equals, test.want)
+			clock.Advance(500 * time.Millisecond)
+			qt.Assert(t, k.Take(x.Name()), qt.IsTrue)
+		})
+	}
+}
--- a/internal/role/replica/targets.go
+++ b/internal/role/replica/targets.go
@@ -136,8 +136,7 @@
 		return
 	}
 	if old != nil && old.list.Digest == list.Digest {
-		x.list = old.list
-		x.list.ReadLag += x.at.Sub(old.at)
+		x.list = old.list.Confirmed(x.at.Sub(old.at))
 	} else if len(list.Instances) == 0 {
 		return // the list that the leader left out was replaced meanwhile
 	}
@@ -177,10 +176,9 @@
 func (h *Host) setTargets(list []rhubarbgate.Instance, at time.Time) {
 	slices.SortFunc(list, compareInstances)
 	h.observeCold(list, at)
-	if old := h.targets.Load(); old != nil {
-		x := &timedTargetList{list: old.list, at: at}
-		x.list.ReadLag += at.Sub(old.at)
-		if sameButForTime(x.list.Current(), list) && slices.ContainsFunc(old.list.Instances, func(i rhubarbgate.Instance) bool { return i.ColdLeft > 0 }) {
+	if old := h.targets.Load(); old != nil && old.list.HasCold() {
+		x := &timedTargetList{list: old.list.Confirmed(at.Sub(old.at)), at: at}
+		if sameButForTime(x.list.Current(), list) {
 			h.replaceTargets(x)
 			return
 		}
--- a/internal/role/replica/targets_test.go
+++ b/internal/role/replica/targets_test.go
@@ -109,3 +109,40 @@
 		})
 	}
 }
+
+// TestColdTimesRunOutWithoutAnotherDigest guards against sending the whole list with each reading while a target is cold,
+// and against cold times that start over with each process that the list passes.
+func TestColdTimesRunOutWithoutAnotherDigest(t *testing.T) {
+	const ms = time.Millisecond
+	clock := clockwork.NewFakeClock()
+	leader, follower := &Host{Clock: clock}, &Host{Clock: clock}
+	set := func(left time.Duration) uint64 {
+		leader.setTargets([]rhubarbgate.Instance{{ID: "a", ColdLeft: left}, {ID: "b"}}, clock.Now())
+		follower.applyTargets(configuration.TargetListReply(leader, clock.Now(), follower.targetsDigest()), clock.Now())
+		return leader.targetsDigest()
+	}
+	check := func(left time.Duration) {
+		list, _ := follower.Targets()
+		qt.Assert(t, list.Current()[0].ColdLeft, qt.Equals, left)
+	}
+	first := set(2000 * ms)
+	check(2000 * ms)
+	clock.Advance(600 * ms)
+	qt.Assert(t, set(1450*ms), qt.Equals, first)
+	check(1400 * ms)
+	clock.Advance(2 * time.Second)
+	qt.Assert(t, set(0), qt.Equals, first)
+	check(0)
+	// Another host gets the list late.
+	late := &Host{Clock: clock}
+	late.applyTargets(configuration.TargetListReply(leader, clock.Now(), 0), clock.Now())
+	list, _ := late.Targets()
+	qt.Assert(t, list.Current()[0].ColdLeft, qt.Equals, time.Duration(0))
+
+	clock.Advance(600 * ms)
+	qt.Assert(t, set(3000*ms), qt.Not(qt.Equals), first)
+	check(3000 * ms)
+	clock.Advance(600 * ms)
+	qt.Assert(t, set(0), qt.Not(qt.Equals), first)
+	check(0)
+}
--- a/internal/role/side/worker_test.go
+++ b/internal/role/side/worker_test.go
@@ -13,10 +13,12 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
+	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 	"rhubarbgate.example/rhubarbgate/platform"
 	"rhubarbgate.example/rhubarbgate/platform/platformtest"
@@ -72,6 +74,46 @@
 	}
 }
 
+// TestItemsAtColdTargets guards against leases of a side whose cold target leaves it no token, and against a cold target that is
+// found out only from the list.
+func TestItemsAtColdTargets(t *testing.T) {
+	tests := []struct {
+		name  string
+		share float64
+		want  int
+	}{
+		{"token", 2, 1},
+		{"no share", 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			x := &platformtest.Target{}
+			w, _ := newBatchOnlyWorker(t, x, clock)
+			h := w.host
+			h.Slots, h.Health = 8, &platform.Engine{Client: &target.Client{Address: x.Address(), Clock: clock, KeepUnidentified: true}}
+			s := rhubarbgate.Section{Services: []rhubarbgate.Service{{Name: "lm", ColdStart: time.Minute, ColdPerSecond: 12, HealthPath: platformtest.HealthPath}}}
+			c := config.FromSection(2, nil, s)
+			h.watcher.ApplyReply(&control.PollReply{Version: 2, Sum: c.Sum, Section: &s}, clock.Now())
+			h.Targets.Cold.SetServices(c.Services)
+			qt.Assert(t, w.allowedByLimit(), qt.Equals, 8)
+			x.SetCold(time.Minute)
+			h.checkHealth(t.Context(), false)
+			qt.Assert(t, h.limits.IsCold(h.targetName()), qt.IsFalse)
+			h.checkHealth(t.Context(), true)
+			qt.Assert(t, h.limits.IsCold(h.targetName()), qt.IsTrue)
+			l := apportion.Limit{
+				Target: h.targetName(), Service: "lm", ColdLeft: time.Minute, Burst: 1, Holders: []apportion.Holder{{Process: h.limits.Process, PerSecond: test.share}},
+			}
+			h.limits.Update(control.TargetLimits{Version: control.LeaderVersion{Term: 1, Number: 1}, Limits: []apportion.Limit{l}})
+			clock.Advance(2 * askInterval)
+			for range 3 {
+				qt.Assert(t, w.allowedByLimit(), qt.Equals, test.want)
+			}
+		})
+	}
+}
+
 // TestLeasesAreRenewedWhileDraining guards against items that fail although they run to their end, because
 // their leases expire while the side drains.
 func TestLeasesAreRenewedWhileDraining(t *testing.T) {
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -224,10 +224,22 @@
 	ReadLag time.Duration `msgpack:",omitempty"`
 }
 
+// HasCold reports whether an instance was cold when the list was read.
+func (l *TargetList) HasCold() bool {
+	return slices.ContainsFunc(l.Instances, func(x rhubarbgate.Instance) bool { return x.ColdLeft > 0 })
+}
+
+// Confirmed returns the list as requested some time later with the same content.
+func (l TargetList) Confirmed(elapsed time.Duration) TargetList {
+	if l.HasCold() {
+		l.ReadLag += elapsed
+	}
+	return l
+}
+
 // Current returns the instances with their cold times as of when the list was requested.
 func (l *TargetList) Current() []rhubarbgate.Instance {
-	isCold := func(x rhubarbgate.Instance) bool { return x.ColdLeft > 0 }
-	if l.ReadLag <= 0 || !slices.ContainsFunc(l.Instances, isCold) {
+	if l.ReadLag <= 0 || !l.HasCold() {
 		return l.Instances
 	}
 	list := slices.Clone(l.Instances)
