apportion: a new leader hears of all processes before it divides the rate of a cold target

Cause: the first process that claimed got the whole rate of a target that started in the term, as nobody else was known. Change: the division waits for the processes that the leader before listed, for 1 s at most, and counts those that have not claimed. Result: the tests of the division pass.

--- a/internal/policy/apportion/cold.go
+++ b/internal/policy/apportion/cold.go
@@ -22,7 +22,7 @@
 	coldOverage = 1.5
 	coldSlack   = 5
 	// coldSettleTime is how long a new leader waits for the claims of all processes before it divides the
-	// rates of targets that may have been divided before. Processes claim within a poll.
+	// rates of cold targets. Processes claim within a poll.
 	coldSettleTime = time.Second
 	// processTTL is how long after its last claim a process is listed: several times claimTTL, so that a
 	// lost claim does not change the list.
@@ -192,17 +192,21 @@
 		return false
 	}
 	missing := 0
-	if x.inherited {
-		for _, p := range t.Previous {
-			if c := t.processes[p]; c == nil || !c.current {
-				missing++
-			}
-		}
-		if (missing > 0 || len(t.Previous) == 0) && now.Sub(t.Begun) < coldSettleTime {
-			return false
+	for _, p := range t.Previous {
+		if c := t.processes[p]; c == nil || !c.current {
+			missing++
 		}
+	}
+	if (missing > 0 || len(t.Previous) == 0) && now.Sub(t.Begun) < coldSettleTime {
+		return false
+	}
+	if now.Sub(t.Begun) < processTTL {
+		// Those that have not claimed yet will get the parts that are left.
 		entries = max(entries, len(t.Previous))
 	}
+	if !x.inherited {
+		missing = 0
+	}
 	if t.besideOf(name) != "" {
 		entries++
 	}
--- a/internal/policy/apportion/cold_test.go
+++ b/internal/policy/apportion/cold_test.go
@@ -26,6 +26,8 @@
 					x.Add(&Claim{Process: "side", Beside: "earlier@10.0.0.1:80"})
 				}
 				x.SetCold([]cold.Target{{Name: "t@10.0.0.1:80", Service: "lm", PerSecond: perSecond, Left: time.Second, Since: clock.Now()}})
+				qt.Assert(t, x.Limits(), qt.HasLen, 0)
+				clock.Advance(coldSettleTime)
 				limits := x.Limits()
 				comment := qt.Commentf("%v a second, %d entries, side %v: %+v", perSecond, entries, beside, limits)
 				qt.Assert(t, limits, qt.HasLen, 1, comment)
