--- a/internal/http/ingress/contention_test.go
+++ b/internal/http/ingress/contention_test.go
@@ -145,9 +145,15 @@
 	a.events = append(a.events, event)
 }
 
-func (a *admission) RecordFirstEvent(service string, _ time.Duration) { a.record("first " + service) }
-func (a *admission) RecordBegun(workspace string)                     { a.record("begun " + workspace) }
-func (a *admission) RecordEnded(workspace string)                     { a.record("ended " + workspace) }
+func (a *admission) Begin(r rhubarbgate.AdmissionRequest) { a.record("begun " + r.Workspace) }
+
+func (a *admission) FirstEvent(r rhubarbgate.AdmissionRequest, _ time.Duration) {
+	a.record("first " + r.Service)
+}
+
+func (a *admission) End(r rhubarbgate.AdmissionRequest, _ time.Duration) {
+	a.record("ended " + r.Workspace)
+}
 
 // TestAdmission guards against a refused request that runs or reserves a slot, one that has been sent and is
 // refused then, a policy that is asked without knowing the offers, and requests that never end for it.
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -74,7 +74,9 @@
 func (h *Host) pollLoad(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !h.evacuated.Load() {
+			wasDown := h.targetDown.Load()
 			h.probeLoad(ctx)
+			h.checkHealth(ctx, wasDown && !h.targetDown.Load())
 		}
 		interval := idleProbeInterval
 		switch {
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -25,6 +25,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	policy "rhubarbgate.example/rhubarbgate/internal/policy/reserve"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -88,6 +89,8 @@
 	// through this side, the gate decides by the probed load, and items come from
 	// store hosts.
 	Probe rhubarbgate.EngineProbe
+	// Health, if set, reads for how long a target stays cold.
+	Health rhubarbgate.HealthProbe
 	// Dialect encodes items for the target if Probe is set.
 	Dialect rhubarbgate.Dialect
 	// Targets lists the targets of the platform if Probe is set.
@@ -114,6 +117,7 @@
 	limits         *targetlimits.Keeper // nil without a Probe
 	presence       *discovery.Presence  // nil without a Probe
 	reservations   *reserve.Server      // nil without Asks
+	health         healthCheck
 	leaving        atomic.Bool
 	targetDown     atomic.Bool
 	evacuated      atomic.Bool // the target's zone, see updateEvacuated
@@ -202,6 +206,9 @@
 		controls := &control.Client{Wire: h.wire, Hosts: h.Parents, Clock: h.Clock}
 		h.crashes = crashes.NewRecorder(h.Targets, controls, h.Clock, h.Logger, h.Metrics)
 		h.limits = targetlimits.NewKeeper(strconv.FormatUint(h.Random.Uint64(), 36), controls, h.Clock, h.Logger, h.Metrics)
+		h.Targets.Cold = &cold.Tracker{Clock: h.Clock, Logger: h.Logger}
+		h.limits.Cold = h.Targets.Cold
+		h.watcher.OnApplied = func(c *config.Config) { h.Targets.Cold.SetServices(c.Services) }
 		h.limits.Beside, h.limits.HasWork = h.targetName, func() bool { return h.worker.hadItems() }
 		h.watcher.OnPeers = func(p control.Peers) {
 			h.control.SetHosts(p.Stores)
--- a/picker.go
+++ b/picker.go
@@ -22,6 +22,8 @@
 	// Queued is the number of requests queued for a slot as of the same report, if
 	// Reported does not include them.
 	Queued int
+	// HasReport says that Reported and Queued are from a recent report.
+	HasReport bool
 	// Wait is the target's estimate of how long a new request is queued.
 	Wait time.Duration
 	// Connected says that an open connection to the target can carry the request.
@@ -31,6 +33,9 @@
 	// Slowness is the time that work takes at the target now, relative to the usual time, as of its last
 	// report; 0 means that it does not state it.
 	Slowness float64
+	// Cold says that the target started a short time ago and takes few requests, of which this entry
+	// may send one.
+	Cold bool
 	// Latency is this entry's moving average of the target's latency: the time to the
 	// first data of a response and, for streams, the gaps between tokens.
 	Latency time.Duration
