--- a/internal/command/rhubarbgate/control.go
+++ b/internal/command/rhubarbgate/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/netip"
 	"os"
 
@@ -11,6 +12,7 @@
 
 	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/http/operator"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/role/replica"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -48,6 +50,7 @@
 			return seeded.run(c.Context(), false)
 		}
 		var v validator
+		seeded.memory.check(&v)
 		v.require(data != "", "data", "is missing")
 		v.require(id > 0, "id", "is missing")
 		v.require(credential != "", "credential", "is missing")
@@ -67,7 +70,8 @@
 		if err := v.err(); err != nil {
 			return err
 		}
-		if err := serveDebug(debug); err != nil {
+		h.Account = seeded.memory.account(h.Logger, h.Metrics)
+		if err := serveDebug(debug, h.Account); err != nil {
 			return err
 		}
 		return runControl(c.Context(), h, operatorAddress, operatorTLS, credential)
@@ -81,10 +85,14 @@
 	if h.Listener, err = listen(h.Listen, h.TLS, h.Traffic); err != nil {
 		return errors.Trace(err)
 	}
-	operatorListener, err := listen(operatorOn, operatorTLS, nil)
+	operatorListener, err := net.Listen("tcp", operatorOn.String())
 	if err != nil {
 		return errors.Trace(err)
 	}
+	operatorListener = h.Account.Port("operators", account.Requests, false).Listener(operatorListener)
+	if operatorTLS != nil {
+		operatorListener = tls.NewListener(operatorListener, operatorTLS)
+	}
 	if err := h.Open(); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/command/rhubarbgate/dev.go
+++ b/internal/command/rhubarbgate/dev.go
@@ -14,12 +14,14 @@
 
 func newDev() *cobra.Command {
 	var listenOn, operatorOn, data, key string
+	var memory memoryFlags
 	c := &cobra.Command{
 		Use:   "dev",
 		Short: "Runs a control host, an entry and two stand-in engines with their sides in one process, for development",
 		Args:  cobra.NoArgs,
 	}
 	f := c.Flags()
+	memory.add(f)
 	f.StringVar(&listenOn, "listen", "127.0.0.1:8080", "IP:PORT to listen on for callers")
 	f.StringVar(&operatorOn, "operator", "127.0.0.1:8081", "IP:PORT to listen on for operators")
 	f.StringVar(&data, "data", "", "folder of the fleet's stored state; empty means a temporary one, which is removed at the end")
@@ -30,9 +32,11 @@
 			Listen: v.address("listen", listenOn), Operator: v.address("operator", operatorOn),
 			Data: data, CallerKey: key, Logger: newLogger(os.Stderr, "dev"), Random: newRandom(0),
 		}
+		memory.check(&v)
 		if err := v.err(); err != nil {
 			return err
 		}
+		d.Account = memory.account(d.Logger, newMetrics("Dev"))
 		if key == "" {
 			d.CallerKey = newCallerKey()
 			c.Printf("caller key (printed once): %s\n", d.CallerKey)
--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -15,6 +15,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 	"rhubarbgate.example/rhubarbgate/internal/role/entry"
 	"rhubarbgate.example/rhubarbgate/internal/role/side"
@@ -85,9 +86,10 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	held := e.memory.account(d.Logger, d.Metrics)
 	d.Wire.Dialer = socket.Dialer(fleetDialTimeout)
 	d.Wire.Traffic = wire.NewTraffic(d.Metrics)
-	if err := serveDebug(e.debug); err != nil {
+	if err := serveDebug(e.debug, held); err != nil {
 		return err
 	}
 	var err error
@@ -97,6 +99,8 @@
 	if d.Readiness, err = socket.Listen(readiness.String()); err != nil {
 		return errors.Trace(err)
 	}
+	d.Listener = held.Port("callers", account.Requests, true).Listener(d.Listener)
+	d.Readiness = held.Port("readiness", account.Requests, false).Listener(d.Readiness)
 	d.Logger.WithField("listen", a.listen.String()).Info("serving")
 	return errors.Trace(d.Run(ctx))
 }
@@ -130,8 +134,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	h.Account = s.memory.account(h.Logger, h.Metrics)
 	h.Traffic = wire.NewTraffic(h.Metrics)
-	if err := serveDebug(s.debug); err != nil {
+	if err := serveDebug(s.debug, h.Account); err != nil {
 		return err
 	}
 	if s.direct.fleetPort != 0 {
--- a/internal/command/rhubarbgate/entry.go
+++ b/internal/command/rhubarbgate/entry.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/role/entry"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
@@ -63,13 +64,15 @@
 	if err := v.err(); err != nil {
 		return err
 	}
-	if err := serveDebug(e.debug); err != nil {
+	h.Account = e.memory.account(h.Logger, h.Metrics)
+	if err := serveDebug(e.debug, h.Account); err != nil {
 		return err
 	}
 	var err error
 	if h.Listener, err = listen(a.listen, nil, nil); err != nil {
 		return errors.Trace(err)
 	}
+	h.Listener = h.Account.Port("callers", account.Streams, true).Listener(h.Listener)
 	if relay.IsValid() {
 		if h.Relay, err = listen(relay, h.TLS, h.Traffic); err != nil {
 			return errors.Trace(err)
--- a/internal/command/rhubarbgate/roles.go
+++ b/internal/command/rhubarbgate/roles.go
@@ -40,6 +40,7 @@
 	listen, control, parents, availabilityZone, debug string
 	maxAge, grace, lag                                time.Duration
 	tlsFiles                                          tlsFlags
+	memory                                            memoryFlags
 }
 
 // add defines the flags. lagFlag, lagHelp and lag are the name, help text and
@@ -55,6 +56,7 @@
 	f.DurationVar(&d.lag, lagFlag, lag, lagHelp)
 	f.DurationVar(&d.grace, "grace", defaultGrace, "longest wait for requests in flight at shutdown, after the time in --balancer-lag or --entry-lag; an entry with --target-list counts that time in; not used by a side with --target-list")
 	d.tlsFiles.add(f)
+	d.memory.add(f)
 }
 
 // daemonAddresses are the parsed addresses in daemonFlags.
@@ -67,6 +69,7 @@
 // parents, the configuration is polled from the control hosts.
 func (d *daemonFlags) check(v *validator) daemonAddresses {
 	v.require(d.availabilityZone != "", "availability-zone", "is missing")
+	d.memory.check(v)
 	v.require(d.maxAge > 0, "max-age", "is not positive")
 	a := daemonAddresses{listen: v.address("listen", d.listen), control: v.addresses("control", d.control)}
 	a.parents = a.control
--- a/internal/command/rhubarbgate/settings.go
+++ b/internal/command/rhubarbgate/settings.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 	expvarmw "github.com/gofiber/fiber/v2/middleware/expvar"
@@ -17,6 +18,7 @@
 	"github.com/juju/errors"
 	"github.com/spf13/pflag"
 
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/security/reload"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
@@ -179,9 +181,16 @@
 	return l, nil
 }
 
+const (
+	// maxDebugBody bounds the body of a request for counters, which needs none.
+	maxDebugBody = 4 << 10
+	// debugTimeout bounds reading such a request, and how long its connection stays open unused.
+	debugTimeout = time.Minute
+)
+
 // serveDebug serves the process's counters under /debug/vars until the process
 // ends. An empty address serves nothing.
-func serveDebug(address string) error {
+func serveDebug(address string, a *account.Account) error {
 	if address == "" {
 		return nil
 	}
@@ -189,8 +198,9 @@
 	if err != nil {
 		return errors.Annotate(err, "--debug")
 	}
-	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	app := fiber.New(fiber.Config{DisableStartupMessage: true, ReduceMemoryUsage: true, BodyLimit: maxDebugBody, ReadTimeout: debugTimeout, IdleTimeout: debugTimeout})
 	app.Use(expvarmw.New())
+	l = a.Port("metrics", account.Requests, false).Listener(l)
 	go func() { _ = app.Listener(l) }()
 	return nil
 }
--- a/internal/command/rhubarbgate/side.go
+++ b/internal/command/rhubarbgate/side.go
@@ -73,7 +73,8 @@
 	if err := v.err(); err != nil {
 		return err
 	}
-	if err := serveDebug(s.debug); err != nil {
+	h.Account = s.memory.account(h.Logger, h.Metrics)
+	if err := serveDebug(s.debug, h.Account); err != nil {
 		return err
 	}
 	var err error
--- a/internal/command/rhubarbgate/store.go
+++ b/internal/command/rhubarbgate/store.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/pflag"
 
 	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 	"rhubarbgate.example/rhubarbgate/internal/role/replica"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
@@ -30,11 +31,13 @@
 	bootstrap                                                    bool
 	toleratedLosses, storeGroups                                 int
 	retention                                                    time.Duration
+	memory                                                       memoryFlags
 }
 
 // add defines the flags that store hosts and control hosts with --seeds have in
 // common.
 func (s *seedFlags) add(f *pflag.FlagSet) {
+	s.memory.add(f)
 	f.StringVar(&s.seeds, "seeds", "", "control hosts to contact first, as IP:PORT,…; required for a store host; the hosts then choose the members of the groups themselves")
 	f.Uint16Var(&s.fleetPort, "fleet-port", 0, "with --seeds: port for the fleet's processes, the same on all hosts, in place of the ports in --seeds; required")
 	f.BoolVar(&s.bootstrap, "bootstrap", false, "with --seeds: create a new fleet instead of joining one; only a control host that --seeds lists does so")
@@ -67,6 +70,7 @@
 	v.require(s.data != "", "data", "is missing")
 	v.require(s.storeGroups >= 1 && s.storeGroups <= 64, "store-groups", "%d is not between 1 and 64", s.storeGroups)
 	v.require(s.toleratedLosses >= 0 && s.toleratedLosses <= 3, "losses", "%d is not between 0 and 3", s.toleratedLosses)
+	s.memory.check(&v)
 	v.require(s.fleetPort > 0, "fleet-port", "is missing")
 	role := "control"
 	if store {
@@ -88,8 +92,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	h.Account = s.memory.account(h.Logger, h.Metrics)
 	h.Traffic = wire.NewTraffic(h.Metrics)
-	if err := serveDebug(s.debug); err != nil {
+	if err := serveDebug(s.debug, h.Account); err != nil {
 		return err
 	}
 	l, err := socket.Listen(h.Listen.String())
@@ -120,6 +125,7 @@
 	}
 	client := &control.Client{Wire: wire.NewClient(nil), Hosts: h.Seeds, Clock: h.Clock}
 	client.Wire.Dialer = h.Dialer
+	l = h.Account.Port("operators", account.Requests, false).Listener(l)
 	h.ControlHostsUpdated = client.SetHosts
 	o := &platform.Operator{Client: client, Logger: h.Logger}
 	server := o.Server()
--- a/internal/http/caller/files.go
+++ b/internal/http/caller/files.go
@@ -18,6 +18,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/http/openai"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
 )
@@ -31,6 +32,9 @@
 	// committed once it has reached either. maxChunkBytes also bounds a page that is read.
 	maxChunkItems = 2000
 	maxChunkBytes = 1 << 20
+	// uploadBytes is what an upload holds: the longest line and a chunk, each of which is copied to be
+	// decoded or sent.
+	uploadBytes = 2*maxLineBytes + 4*maxChunkBytes
 	// callTimeout bounds a call to the control hosts.
 	callTimeout = 10 * time.Second
 	// outputPrefix followed by a job's ID is the ID of the job's output file.
@@ -77,6 +81,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := account.Hold(x.Fiber.Context().Conn(), uploadBytes); err != nil {
+		return memoryInUse()
+	}
 	u := &upload{server: s, exchange: x, group: s.group(x), id: s.newID("file"), digest: sha256.New()}
 	if _, err := s.commitJobs(x, jobs.Command{CreateFile: &jobs.CreateFile{ID: u.id, Workspace: x.Workspace, Name: name}}); err != nil {
 		return err
--- a/internal/http/caller/route.go
+++ b/internal/http/caller/route.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/http/openai"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 )
 
@@ -117,7 +119,10 @@
 	if r == nil {
 		return bytes.Clone(x.Fiber.Body()), nil
 	}
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	b, err := readHeld(r, limit+1, x.Fiber.Context().Conn())
+	if errors.Is(err, account.ErrRefused) {
+		return nil, memoryInUse()
+	}
 	if err != nil {
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 			return nil, tooLarge(limit)
@@ -130,6 +135,35 @@
 	return b, nil
 }
 
+// readHeld reads up to limit bytes into a buffer that doubles, whose growth is charged to the connection
+// before it happens. What is charged is released when the response was sent.
+func readHeld(r io.Reader, limit int64, c net.Conn) ([]byte, error) {
+	b := make([]byte, 0, firstBodyBytes)
+	for int64(len(b)) < limit {
+		if len(b) == cap(b) {
+			n := min(2*cap(b), int(limit))
+			if _, err := account.Hold(c, n); err != nil {
+				return nil, err
+			}
+			b = append(make([]byte, 0, n), b...)
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err == io.EOF {
+			return b, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+// memoryInUse returns the error for a request for which there is no memory.
+func memoryInUse() error {
+	return notRun(rhubarbgate.CodeOverloaded, "%v", account.ErrRefused).WithRetryAfter(memoryRetryAfter)
+}
+
 func tooLarge(limit int64) error {
 	return notRun(rhubarbgate.CodeTooLarge, "the body is larger than %d bytes", limit)
 }
--- a/internal/http/caller/server.go
+++ b/internal/http/caller/server.go
@@ -30,6 +30,11 @@
 	defaultTimeout = 60 * time.Second
 	// readTimeout is how long a caller may take to send a request, including its body.
 	readTimeout = 30 * time.Second
+	// firstBodyBytes is the size of the buffer with which reading a body begins.
+	firstBodyBytes = 4 << 10
+	// memoryRetryAfter is the Retry-After while the memory for requests is in use: about the time after
+	// which bodies that make no progress have given way.
+	memoryRetryAfter = time.Second
 	// idleTimeout is how long a connection without requests stays open.
 	idleTimeout = 2 * time.Minute
 )
@@ -102,6 +107,7 @@
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		StreamRequestBody:     true,
+		ReduceMemoryUsage:     true,
 		BodyLimit:             maxBodyBytes,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
--- a/internal/http/ingress/jobs.go
+++ b/internal/http/ingress/jobs.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/jobs"
@@ -19,6 +20,9 @@
 	jobTimeout = 2500 * time.Millisecond
 	// maxPageBytes bounds a page of results.
 	maxPageBytes = 900 << 10
+	// decodedCopies is how many times the size of a batch job is held beside its body: the text and the
+	// bytes of its items, the items encoded, and the message to the store hosts.
+	decodedCopies = 4
 	// storeRetryAfter is the Retry-After while no store host is known: about the time
 	// that an election takes.
 	storeRetryAfter = time.Second
@@ -35,6 +39,11 @@
 
 // submit stores a batch job at the store hosts.
 func (s *Server) submit(x *Exchange) error {
+	release, err := s.holdDecoded(x)
+	if err != nil {
+		return err
+	}
+	defer release()
 	items, err := s.Dialect.DecodeJob(x.HTTP.Request.Body())
 	if err != nil {
 		return err
@@ -73,6 +82,15 @@
 	return nil
 }
 
+// holdDecoded charges the copies that decoding and storing a batch job makes.
+func (s *Server) holdDecoded(x *Exchange) (release func(), err error) {
+	release, err = account.Hold(x.HTTP.Conn(), decodedCopies*len(x.HTTP.Request.Body()))
+	if err != nil {
+		return nil, notRun(rhubarbgate.CodeOverloaded, "%v", err).WithRetryAfter(memoryRetryAfter)
+	}
+	return release, nil
+}
+
 // accepted responds that a batch job was accepted, now or before.
 func (s *Server) accepted(x *Exchange, group uint32, items int) {
 	f := x.fields(s.Clock.Now())
@@ -94,6 +112,11 @@
 			return false, err
 		}
 	}
+	release, err := s.holdDecoded(x)
+	if err != nil {
+		return false, err
+	}
+	defer release()
 	items, err := s.Dialect.DecodeJob(x.HTTP.Request.Body())
 	if err != nil {
 		return false, nil
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -23,6 +23,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
 	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 )
@@ -36,6 +37,13 @@
 	readTimeout = 20 * time.Second
 	// idleTimeout is how long a caller's connection may be unused.
 	idleTimeout = 60 * time.Second
+	// memoryRetryAfter is the Retry-After while the memory for requests is in use: about the time after
+	// which bodies that make no progress have given way.
+	memoryRetryAfter = time.Second
+	// maxLoggedError bounds the text of a malformed request's error, which has the head in it.
+	maxLoggedError = 200
+	// maxReadinessBody bounds the body of a readiness check, which needs none.
+	maxReadinessBody = 4 << 10
 	// stopMargin is the time that the last response has to be sent before a draining entry stops.
 	stopMargin = 50 * time.Millisecond
 	// defaultStallTimeout is the default of Server.StallTimeout.
@@ -114,7 +122,7 @@
 		DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: false,
 		CloseOnShutdown: true, Logger: discardLogger{}, ErrorHandler: s.handleReadError, ReduceMemoryUsage: true,
 	}
-	s.readiness = &fasthttp.Server{Handler: s.checkReadiness, NoDefaultServerHeader: true, Logger: discardLogger{}, ReduceMemoryUsage: true}
+	s.readiness = &fasthttp.Server{Handler: s.checkReadiness, MaxRequestBodySize: maxReadinessBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{}, ReduceMemoryUsage: true}
 }
 
 // discardLogger drops the log lines of the HTTP library. Malformed requests are logged by
@@ -248,7 +256,12 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		code = rhubarbgate.CodeTooLarge
 	}
-	e := notRun(code, "reading the request: %v", err)
+	message := err.Error()
+	e := notRun(code, "reading the request: %s", message[:min(len(message), maxLoggedError)])
+	if x := account.From(c.Conn()); x != nil && x.Refused() != account.None {
+		e = notRun(rhubarbgate.CodeOverloaded, "%v", account.ErrRefused).WithRetryAfter(memoryRetryAfter)
+		status = 0
+	}
 	refusalStatus, headers, body := s.Dialect.EncodeError(e)
 	if status == 0 {
 		status = refusalStatus
--- a/internal/http/ingress/stall.go
+++ b/internal/http/ingress/stall.go
@@ -40,6 +40,9 @@
 	return c.Conn.Write(b)
 }
 
+// NetConn returns the connection below.
+func (c *stallConn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn, so that the connection can be watched.
 func (c *stallConn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
--- a/internal/http/operator/server.go
+++ b/internal/http/operator/server.go
@@ -74,7 +74,7 @@
 
 // Prepare registers the routes. Call it once, before Serve.
 func (s *Server) Prepare() {
-	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: maxBodyBytes, ErrorHandler: writeError})
+	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: maxBodyBytes, ReduceMemoryUsage: true, ErrorHandler: writeError})
 	s.app.Use(recover.New(recover.Config{EnableStackTrace: true}))
 	s.app.Use(s.authenticate)
 	s.app.Get("/v1/status", s.status)
--- a/internal/role/dev/fleet.go
+++ b/internal/role/dev/fleet.go
@@ -22,6 +22,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/http/operator"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/role/entry"
 	"rhubarbgate.example/rhubarbgate/internal/role/replica"
 	"rhubarbgate.example/rhubarbgate/internal/role/side"
@@ -64,6 +65,8 @@
 	Credential string         // credential that operators must send
 	Logger     log.Interface
 	Random     *mathrand.Rand
+	// Account, if set, bounds what the process holds for others.
+	Account *account.Account
 	// Ready is called once the entry can serve requests; it may be nil.
 	Ready func()
 
@@ -198,7 +201,7 @@
 	f.control = a
 	h := &replica.Host{
 		ID: 1, Data: filepath.Join(f.Data, "control"), Listen: a, Members: map[uint64]netip.AddrPort{1: a},
-		JobGroups: jobGroups, TLS: c, Listener: l, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Control"),
+		JobGroups: jobGroups, TLS: c, Listener: l, Account: f.Account, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Control"),
 		Operators: config.Operators{
 			Keys:      map[string]ed25519.PublicKey{operatorName: f.operatorKey.Public().(ed25519.PublicKey)},
 			Threshold: 1,
@@ -224,7 +227,7 @@
 	f.spawn(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = o.Close() })
 		defer stop()
-		return o.Serve(l)
+		return o.Serve(f.Account.Port("operators", account.Requests, false).Listener(l))
 	})
 	return nil
 }
@@ -249,7 +252,7 @@
 	}
 	name := fmt.Sprintf("standin-%d", i)
 	h := &side.Host{
-		Name: name, Target: engineAddress, Listener: l, AvailabilityZone: availabilityZone,
+		Name: name, Target: engineAddress, Listener: l, Account: f.Account, AvailabilityZone: availabilityZone,
 		Parents: []netip.AddrPort{f.control}, Control: []netip.AddrPort{f.control}, Slots: slots, Batch: true,
 		TLS: c, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Side" + name),
 		MaxAge: maxAge, Grace: grace,
@@ -327,7 +330,7 @@
 		return errors.Trace(err)
 	}
 	h := &entry.Host{
-		Listener: l, AvailabilityZone: availabilityZone, Parents: []netip.AddrPort{f.control}, Control: []netip.AddrPort{f.control},
+		Listener: f.Account.Port("callers", account.Streams, true).Listener(l), AvailabilityZone: availabilityZone, Parents: []netip.AddrPort{f.control}, Control: []netip.AddrPort{f.control},
 		TLS: c, Clock: f.clock, Random: f.random(), Logger: f.Logger, Metrics: metrics("Entry"),
 		MaxAge: maxAge, Grace: grace,
 	}
--- a/internal/role/entry/host.go
+++ b/internal/role/entry/host.go
@@ -23,6 +23,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/limits"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targets"
 	"rhubarbgate.example/rhubarbgate/internal/http/caller"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
 	"rhubarbgate.example/rhubarbgate/internal/policy/retry"
@@ -62,6 +63,8 @@
 	TLS              *tls.Config // for connections to other processes of the fleet
 	// Traffic, if set, counts the bytes exchanged with other processes of the fleet.
 	Traffic *wire.Traffic
+	// Account, if set, bounds what the process holds for others.
+	Account *account.Account
 	Clock   clockwork.Clock
 	Random  *rand.Rand
 	Logger  log.Interface
@@ -132,6 +135,7 @@
 	if h.Relay != nil {
 		mux := wire.NewMux()
 		mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
+		mux.Port = h.Account.Port("fleet", account.Messages, false)
 		configuration.Register(mux, watcher, h.Clock)
 		tasks.Go(func() { served <- mux.Serve(work, h.Relay) })
 	}
--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -27,6 +27,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/batch"
 	"rhubarbgate.example/rhubarbgate/internal/controller/configuration"
 	"rhubarbgate.example/rhubarbgate/internal/controller/streams"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/policy/apportion"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/order"
@@ -112,7 +113,9 @@
 	// Dialer opens connections to other hosts; nil means a default dialer.
 	Dialer *net.Dialer
 	// Traffic, if set, counts the bytes exchanged with other processes of the fleet.
-	Traffic  *wire.Traffic
+	Traffic *wire.Traffic
+	// Account, if set, bounds what the process holds for others.
+	Account  *account.Account
 	Listener net.Listener
 	Clock    clockwork.Clock
 	Random   *rand.Rand
@@ -281,6 +284,7 @@
 	h.transport.Start(work)
 	mux := wire.NewMux()
 	mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
+	mux.Port = h.Account.Port("fleet", account.Messages, true)
 	h.registerMethods(mux)
 	var tasks conc.WaitGroup
 	tasks.Go(func() { h.fail(mux.Serve(work, h.Listener)) })
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -10,6 +10,7 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 )
@@ -37,6 +38,7 @@
 	if h.Listener != nil {
 		mux := wire.NewMux()
 		mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
+		mux.Port = h.Account.Port("fleet", account.Messages, true)
 		wire.Unary(mux, side.MethodContinuity, wire.Entries, h.handleContinuity)
 		tasks.Go(func() { _ = mux.Serve(work, h.Listener) })
 	}
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -24,6 +24,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/controller/gatekeeper"
 	"rhubarbgate.example/rhubarbgate/internal/controller/targetlimits"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/policy/gate"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/side"
@@ -73,6 +74,8 @@
 	Dialer *net.Dialer
 	// Traffic, if set, counts the bytes exchanged with other processes of the fleet.
 	Traffic *wire.Traffic
+	// Account, if set, bounds what the process holds for others.
+	Account *account.Account
 	Clock   clockwork.Clock
 	Random  *rand.Rand
 	Logger  log.Interface
@@ -150,6 +153,7 @@
 	}
 	mux := wire.NewMux()
 	mux.OnPanic, mux.OnTooLarge = wire.LogPanics(h.Logger), wire.LogTooLarge(h.Logger)
+	mux.Port = h.Account.Port("fleet", account.Messages, true)
 	wire.ServerStream(mux, side.MethodRun, wire.Entries, h.handleRun)
 	wire.ServerStream(mux, side.MethodReport, wire.Entries, h.handleReport)
 	configuration.Register(mux, h.watcher, h.Clock)
--- a/internal/rpc/wire/mux.go
+++ b/internal/rpc/wire/mux.go
@@ -6,8 +6,6 @@
 	"net"
 	"runtime/debug"
 	"slices"
-	"syscall"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
@@ -20,6 +18,8 @@
 	"storj.io/drpc/drpcwire"
 
 	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/net/account"
+	"rhubarbgate.example/rhubarbgate/internal/net/socket"
 )
 
 // envelope wraps every unary reply, so that errors reach the calling process with their
@@ -43,6 +43,8 @@
 	OnTooLarge func(method string, err *SizeError)
 	// Clock paces attempts to accept connections; NewMux sets the real one.
 	Clock clockwork.Clock
+	// Port, if set, bounds the connections and the memory of their messages.
+	Port *account.Port
 
 	methods map[string]method
 }
@@ -139,21 +141,6 @@
 	return h.handle(s)
 }
 
-// acceptPause is the time before the next attempt to accept a connection after one failed because
-// a resource was short. Connections that end meanwhile free some.
-const acceptPause = 20 * time.Millisecond
-
-// isTemporary reports whether accepting a connection failed in a way that passes: the listener is
-// sound.
-func isTemporary(err error) bool {
-	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
-
 // Serve serves RPCs on l until ctx ends or l fails for good, and then waits for the open
 // connections to end.
 func (m *Mux) Serve(ctx context.Context, l net.Listener) error {
@@ -167,20 +154,24 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if isTemporary(err) {
+		if socket.IsShortage(err) {
 			select {
 			case <-ctx.Done():
-			case <-m.Clock.After(acceptPause):
+			case <-m.Clock.After(socket.AcceptPause):
 			}
 			continue
 		}
 		if err != nil {
 			return errors.Trace(err)
 		}
+		metered, ok := m.Port.Admit(c)
+		if !ok {
+			continue
+		}
 		g.Go(func() {
 			// The error concerns only this connection, and the peer sees the
 			// connection end, so it is not reported.
-			_ = s.ServeOne(drpcctx.WithTransport(ctx, c), c)
+			_ = s.ServeOne(drpcctx.WithTransport(ctx, c), metered)
 		})
 	}
 }
