account: the buffer of a body is charged before it is allocated

Cause: the HTTP library allocates a body's buffer when it reads a length or the size of a chunk, so requests that waited for memory held it already. Change: the account follows lengths and chunk sizes as they arrive, and counts refused connections until they have ended.

--- a/internal/command/rhubarbgate/store.go
+++ b/internal/command/rhubarbgate/store.go
@@ -125,7 +125,7 @@
 	}
 	client := &control.Client{Wire: wire.NewClient(nil), Hosts: h.Seeds, Clock: h.Clock}
 	client.Wire.Dialer = h.Dialer
-	l = h.Account.Port("operators", account.Requests, false).Listener(l)
+	l = h.Account.Port("operators", account.Requests, false).WithMaxBody(platform.MaxDocumentBytes).Listener(l)
 	h.ControlHostsUpdated = client.SetHosts
 	o := &platform.Operator{Client: client, Logger: h.Logger}
 	server := o.Server()
--- a/internal/net/account/account.go
+++ b/internal/net/account/account.go
@@ -35,11 +35,13 @@
 	// baseBytes is charged for a connection while it has a request: the buffers of its head and its
 	// response, and its goroutine.
 	baseBytes = 24 << 10
-	// readBuffer is the size up to which a read goes into the HTTP library's own buffer. A longer one
-	// goes into the buffer of a body, which then has at least that length.
-	readBuffer = 16 << 10
-	// connectionShare is the part of Limit, in quarters, that one connection may hold.
-	connectionShare = 3
+	// readBuffer is the size of the buffers of the HTTP library, which baseBytes includes.
+	readBuffer     = 16 << 10
+	defaultMaxBody = 4 << 20
+	// waitInterval and maxWaits bound the wait for the memory of connections that were refused: they
+	// have to wake up and to end.
+	waitInterval = 5 * time.Millisecond
+	maxWaits     = 100
 	// writeGrace is how long a peer may leave the rest of a response before the response gives way to
 	// requests that need its memory.
 	writeGrace = 2 * time.Second
@@ -59,12 +61,14 @@
 	Clock          clockwork.Clock
 	Logger         log.Interface
 
-	mu     sync.Mutex
-	held   int64
-	ports  []*Port
-	counts [Connections + 1]expvar.Int
-	logged [Connections + 1]time.Time
-	sweeps bool // a sweep is scheduled
+	mu   sync.Mutex
+	held int64 // leaving included
+	// leaving is held by connections that were refused and have not ended yet.
+	leaving int64
+	ports   []*Port
+	counts  [Connections + 1]expvar.Int
+	logged  [Connections + 1]time.Time
+	sweeps  bool // a sweep is scheduled
 }
 
 // Publish adds the counters to m: bytes held, open connections, and refusals by cause.
@@ -99,6 +103,15 @@
 	account *Account
 	conns   map[*Conn]struct{}
 	max     int
+	maxBody int64
+}
+
+// WithMaxBody sets the longest body that the HTTP library reads, 4 MiB by default, and returns the port.
+func (p *Port) WithMaxBody(n int64) *Port {
+	if p != nil {
+		p.maxBody = n
+	}
+	return p
 }
 
 // Port adds a port to the account.
@@ -106,7 +119,7 @@
 	if a == nil {
 		return nil
 	}
-	p := &Port{Name: name, Kind: kind, Main: main, account: a, conns: map[*Conn]struct{}{}, max: a.MaxConnections}
+	p := &Port{Name: name, Kind: kind, Main: main, account: a, conns: map[*Conn]struct{}{}, max: a.MaxConnections, maxBody: defaultMaxBody}
 	if !main {
 		p.max = max(a.MaxConnections/8, 16)
 	}
@@ -137,7 +150,7 @@
 		v.drop()
 		v.Conn.Close()
 	}
-	x := &Conn{Conn: c, port: p, since: now, progress: now}
+	x := &Conn{Conn: c, port: p, since: now, progress: now, bodies: bodies{maxBody: p.maxBody}}
 	p.conns[x] = struct{}{}
 	return x, true
 }
@@ -157,27 +170,40 @@
 	return r
 }
 
-// charge adds bytes to what is held for c. Over the limit, it refuses others, or c itself. The lock is
-// held.
+// charge adds bytes to what is held for c. Over the limit, it refuses others, or c itself, and waits until
+// what those hold is free. The lock is held, except while it waits.
 func (a *Account) charge(c *Conn, n int64) error {
 	if n <= 0 {
 		c.charged += n
 		a.held += n
 		return nil
 	}
-	if c.charged+n > a.Limit/4*connectionShare {
+	if c.charged+n > a.Limit {
 		c.refuse(Memory)
 		a.count(Memory, c.port)
 		return ErrRefused
 	}
-	for a.held+n > a.Limit {
-		v := a.victim(c)
-		a.count(Memory, c.port)
-		if v == nil || v == c {
+	for waits := 0; a.held+n > a.Limit; {
+		if a.held-a.leaving+n > a.Limit {
+			a.count(Memory, c.port)
+			if v := a.victim(c); v != nil && v != c {
+				v.refuse(Memory)
+				continue
+			}
 			c.refuse(Memory)
 			return ErrRefused
 		}
-		v.refuse(Memory)
+		if waits++; waits > maxWaits {
+			a.count(Memory, c.port)
+			c.refuse(Memory)
+			return ErrRefused
+		}
+		a.mu.Unlock()
+		a.Clock.Sleep(waitInterval)
+		a.mu.Lock()
+		if c.refused != None || c.closed {
+			return ErrRefused
+		}
 	}
 	c.charged += n
 	a.held += n
--- a/internal/net/account/conn.go
+++ b/internal/net/account/conn.go
@@ -1,7 +1,6 @@
 package account
 
 import (
-	"math/bits"
 	"net"
 	"syscall"
 	"time"
@@ -31,10 +30,10 @@
 	port *Port
 
 	charged int64
-	// turn is how many bytes of the current request arrived, need the largest known length of its
-	// buffer, and growths how often that grew.
-	turn, need int64
-	growths    int
+	// leaving is what was charged when the connection was refused.
+	leaving int64
+	// turn is how many bytes of the current request arrived.
+	turn int64
 	// since is when the current request, or the silence before it, began; progress when the last byte
 	// was read, or taken by the peer.
 	since, progress time.Time
@@ -50,6 +49,7 @@
 	refused Cause
 	closed  bool
 	frames  frames
+	bodies  bodies
 }
 
 // awaitsPeer reports whether nothing but the peer can make the connection go on.
@@ -72,14 +72,14 @@
 	return holding.Body{Since: c.since, Progress: c.progress, Bytes: c.turn}
 }
 
-// refuse makes reads and writes of the connection fail, and counts its memory as free. The lock is held.
+// refuse makes reads and writes of the connection fail, so that it ends. The lock is held.
 func (c *Conn) refuse(cause Cause) {
 	if c.refused != None {
 		return
 	}
 	c.refused = cause
-	c.port.account.held -= c.charged
-	c.charged = 0
+	c.leaving, c.charged = c.charged, 0
+	c.port.account.leaving += c.leaving
 	// Both fail only if the connection is closed, which ends its reads and writes too.
 	if c.writing {
 		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
@@ -93,8 +93,9 @@
 		return
 	}
 	c.closed = true
-	c.port.account.held -= c.charged
-	c.charged = 0
+	c.port.account.held -= c.charged + c.leaving
+	c.port.account.leaving -= c.leaving
+	c.charged, c.leaving = 0, 0
 	delete(c.port.conns, c)
 }
 
@@ -132,14 +133,14 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
-	if err := c.beforeRead(len(b)); err != nil {
+	if err := c.beforeRead(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
 	return c.afterRead(b[:max(n, 0)], err)
 }
 
-func (c *Conn) beforeRead(n int) error {
+func (c *Conn) beforeRead() error {
 	a := c.port.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -150,33 +151,26 @@
 		c.endTurn(a.Clock.Now())
 	}
 	c.reading = true
-	if c.port.Kind == Requests && n > readBuffer {
-		return c.grow(c.turn+int64(n), true)
-	}
 	return nil
 }
 
 // endTurn ends a request and its response. The lock is held.
 func (c *Conn) endTurn(now time.Time) {
 	c.port.account.held -= c.charged
-	c.charged, c.turn, c.need, c.growths, c.wrote, c.unfinished = 0, 0, 0, 0, false, false
+	c.charged, c.turn, c.wrote, c.unfinished = 0, 0, false, false
 	c.since, c.progress = now, now
+	c.bodies.reset()
+	// A pipelined request may have begun to arrive. It is charged again with its next bytes; until
+	// then the library has allocated only what was charged before.
+	if n := c.bodies.need; n > 0 {
+		c.charged = baseBytes + n
+		c.port.account.held += c.charged
+	}
 }
 
-// grow charges the buffers of a request that has at least the given length. If a read into the body's
-// own buffer shows that this buffer has grown again, the body has no known length, and the buffer
-// doubles. The lock is held.
-func (c *Conn) grow(length int64, direct bool) error {
-	if length <= c.need {
-		return nil
-	}
-	if direct {
-		if c.growths++; c.growths > 1 {
-			length = 1 << bits.Len64(uint64(length))
-		}
-	}
-	c.need = length
-	return c.port.account.charge(c, baseBytes+length-c.charged)
+// chargeRequest charges the buffers of the request that is arriving. The lock is held.
+func (c *Conn) chargeRequest() error {
+	return c.port.account.charge(c, baseBytes+c.bodies.need-c.charged)
 }
 
 func (c *Conn) afterRead(b []byte, err error) (int, error) {
@@ -207,7 +201,8 @@
 		}
 	case Requests:
 		c.unfinished = true
-		if e := c.grow(c.turn, false); e != nil {
+		c.bodies.read(b)
+		if e := c.chargeRequest(); e != nil {
 			return 0, e
 		}
 	default:
