account, side: tests, and names of items' headers

Cause: an item's header name with a colon reached the target as another header, such as that of the workspace, with a value of the submitter. Change: names that are no tokens are not forwarded; bytes that arrive on a closed connection are not charged; ports whose bodies are small reserve no more.

--- a/internal/command/rhubarbgate/control.go
+++ b/internal/command/rhubarbgate/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/netip"
 	"os"
 
@@ -85,14 +84,11 @@
 	if h.Listener, err = listen(h.Listen, h.TLS, h.Traffic); err != nil {
 		return errors.Trace(err)
 	}
-	operatorListener, err := net.Listen("tcp", operatorOn.String())
+	operatorListener, err := listen(operatorOn, operatorTLS, nil)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	operatorListener = h.Account.Port("operators", account.Requests, false).Listener(operatorListener)
-	if operatorTLS != nil {
-		operatorListener = tls.NewListener(operatorListener, operatorTLS)
-	}
+	operatorListener = h.Account.Port("operators", account.Requests, false).WithMaxBody(operator.MaxBodyBytes).Listener(operatorListener)
 	if err := h.Open(); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -14,6 +14,7 @@
 
 	"rhubarbgate.example/rhubarbgate/internal/clock/boottime"
 	"rhubarbgate.example/rhubarbgate/internal/controller/discovery"
+	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
 	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/net/account"
 	"rhubarbgate.example/rhubarbgate/internal/net/socket"
@@ -100,7 +101,7 @@
 		return errors.Trace(err)
 	}
 	d.Listener = held.Port("callers", account.Requests, true).Listener(d.Listener)
-	d.Readiness = held.Port("readiness", account.Requests, false).Listener(d.Readiness)
+	d.Readiness = held.Port("readiness", account.Requests, false).WithMaxBody(ingress.MaxReadinessBody).Listener(d.Readiness)
 	d.Logger.WithField("listen", a.listen.String()).Info("serving")
 	return errors.Trace(d.Run(ctx))
 }
--- a/internal/command/rhubarbgate/memory.go
+++ b/internal/command/rhubarbgate/memory.go
@@ -70,6 +70,7 @@
 	v.require(m.limit.value >= minMemoryLimit, "memory-limit", "%d is below %d", m.limit.value, minMemoryLimit)
 	n := m.connections.value
 	v.require(n == 0 || n >= minReserved, "max-connections", "%d is below %d", n, minReserved)
+	v.require(n < usableDescriptors(), "max-connections", "%d is above the %d usable descriptors", n, usableDescriptors())
 }
 
 // account returns the process's account and sets the bounds that belong to the process as a whole.
@@ -85,13 +86,17 @@
 	return a
 }
 
+// usableDescriptors returns how many descriptors the process may have, without the reserve.
+func usableDescriptors() int {
+	const plenty = 1 << 20
+	r := syscall.Rlimit{Cur: plenty}
+	// An error means that no limit is known.
+	_ = syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r)
+	n := int(min(r.Cur, plenty))
+	return n - max(n/reservedDivisor, minReserved)
+}
+
 // defaultMaxConnections derives the most connections of a main port from the descriptors.
 func defaultMaxConnections() int {
-	var r syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
-		return maxDefaultConnections
-	}
-	n := int(min(r.Cur, 1<<20))
-	usable := n - max(n/reservedDivisor, minReserved)
-	return min(max(usable*connectionsNumerator/connectionsDivisor, minReserved), maxDefaultConnections)
+	return min(max(usableDescriptors()*connectionsNumerator/connectionsDivisor, minReserved), maxDefaultConnections)
 }
--- a/internal/command/rhubarbgate/settings.go
+++ b/internal/command/rhubarbgate/settings.go
@@ -200,7 +200,7 @@
 	}
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, ReduceMemoryUsage: true, BodyLimit: maxDebugBody, ReadTimeout: debugTimeout, IdleTimeout: debugTimeout})
 	app.Use(expvarmw.New())
-	l = a.Port("metrics", account.Requests, false).Listener(l)
+	l = a.Port("metrics", account.Requests, false).WithMaxBody(maxDebugBody).Listener(l)
 	go func() { _ = app.Listener(l) }()
 	return nil
 }
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -42,8 +42,8 @@
 	memoryRetryAfter = time.Second
 	// maxLoggedError bounds the text of a malformed request's error, which has the head in it.
 	maxLoggedError = 200
-	// maxReadinessBody bounds the body of a readiness check, which needs none.
-	maxReadinessBody = 4 << 10
+	// MaxReadinessBody bounds the body of a readiness check, which needs none.
+	MaxReadinessBody = 4 << 10
 	// stopMargin is the time that the last response has to be sent before a draining entry stops.
 	stopMargin = 50 * time.Millisecond
 	// defaultStallTimeout is the default of Server.StallTimeout.
@@ -122,7 +122,7 @@
 		DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: false,
 		CloseOnShutdown: true, Logger: discardLogger{}, ErrorHandler: s.handleReadError, ReduceMemoryUsage: true,
 	}
-	s.readiness = &fasthttp.Server{Handler: s.checkReadiness, MaxRequestBodySize: maxReadinessBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{}, ReduceMemoryUsage: true}
+	s.readiness = &fasthttp.Server{Handler: s.checkReadiness, MaxRequestBodySize: MaxReadinessBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, Logger: discardLogger{}, ReduceMemoryUsage: true}
 }
 
 // discardLogger drops the log lines of the HTTP library. Malformed requests are logged by
@@ -256,18 +256,20 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		code = rhubarbgate.CodeTooLarge
 	}
-	message := err.Error()
+	message, logged := err.Error(), true
 	e := notRun(code, "reading the request: %s", message[:min(len(message), maxLoggedError)])
 	if x := account.From(c.Conn()); x != nil && x.Refused() != account.None {
 		e = notRun(rhubarbgate.CodeOverloaded, "%v", account.ErrRefused).WithRetryAfter(memoryRetryAfter)
-		status = 0
+		status, logged = 0, false // the account logs refusals by cause
 	}
 	refusalStatus, headers, body := s.Dialect.EncodeError(e)
 	if status == 0 {
 		status = refusalStatus
 	}
 	s.Counts.Refused.Add(1)
-	s.Logger.WithField("status", status).Info("refused: " + e.Message)
+	if logged {
+		s.Logger.WithField("status", status).Info("refused: " + e.Message)
+	}
 	c.SetStatusCode(status)
 	for _, h := range headers {
 		c.Response.Header.Set(h.Name, h.Value)
--- a/internal/http/operator/server.go
+++ b/internal/http/operator/server.go
@@ -31,8 +31,8 @@
 	callTimeout = 10 * time.Second
 	// statusTimeout bounds the status call to one host, which may be down.
 	statusTimeout = time.Second
-	// maxBodyBytes is the largest request body, which is a bundle.
-	maxBodyBytes = 16 << 20
+	// MaxBodyBytes is the largest request body, which is a bundle.
+	MaxBodyBytes = 16 << 20
 	// maxListedJobs is the maximum number of jobs in a list.
 	maxListedJobs = 1000
 )
@@ -74,7 +74,7 @@
 
 // Prepare registers the routes. Call it once, before Serve.
 func (s *Server) Prepare() {
-	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: maxBodyBytes, ReduceMemoryUsage: true, ErrorHandler: writeError})
+	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: MaxBodyBytes, ReduceMemoryUsage: true, ErrorHandler: writeError})
 	s.app.Use(recover.New(recover.Config{EnableStackTrace: true}))
 	s.app.Use(s.authenticate)
 	s.app.Get("/v1/status", s.status)
--- a/internal/net/account/bodies.go
+++ b/internal/net/account/bodies.go
@@ -90,7 +90,7 @@
 
 func (r *bodies) endHeadLine(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
-	value = bytes.TrimSpace(value)
+	name, value = bytes.TrimSpace(name), bytes.TrimSpace(value)
 	switch {
 	case len(line) == 0 && r.chunked:
 		r.place, r.length = inChunkSize, 0
@@ -98,7 +98,9 @@
 		r.place, r.left = inBody, r.length
 		r.require(r.length)
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		if n, err := strconv.ParseInt(string(value), 10, 64); err == nil && n >= 0 {
+		if r.n > maxLine {
+			r.length = r.maxBody // the digits may be beyond what is kept
+		} else if n, err := strconv.ParseInt(string(value), 10, 64); err == nil && n >= 0 {
 			r.length = n
 		}
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
--- a/internal/net/account/conn.go
+++ b/internal/net/account/conn.go
@@ -106,14 +106,26 @@
 	return c.refused
 }
 
+// usable returns the error of a connection that was refused, or closed, which nothing is charged to any
+// more. The lock is held.
+func (c *Conn) usable() error {
+	switch {
+	case c.refused != None:
+		return ErrRefused
+	case c.closed:
+		return net.ErrClosed
+	}
+	return nil
+}
+
 // Hold charges n bytes that the process keeps for the current request, apart from its body, until
 // release is called or the next request begins.
 func (c *Conn) Hold(n int) (release func(), err error) {
 	a := c.port.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if c.refused != None {
-		return nil, ErrRefused
+	if err := c.usable(); err != nil {
+		return nil, err
 	}
 	if c.port.Kind == Requests {
 		c.unfinished = false // it was read whole
@@ -133,23 +145,29 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
-	if err := c.beforeRead(); err != nil {
+	if err := c.beforeRead(len(b)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
 	return c.afterRead(b[:max(n, 0)], err)
 }
 
-func (c *Conn) beforeRead() error {
+func (c *Conn) beforeRead(n int) error {
 	a := c.port.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if c.refused != None {
-		return ErrRefused
+	if err := c.usable(); err != nil {
+		return err
 	}
 	if c.wrote && c.port.Kind != Messages {
 		c.endTurn(a.Clock.Now())
 	}
+	// A read into a larger buffer than was charged shows a request that bodies did not understand.
+	if c.port.Kind == Requests && n > readBuffer && int64(n) > c.charged {
+		if err := a.charge(c, int64(n)-c.charged); err != nil {
+			return err
+		}
+	}
 	c.reading = true
 	return nil
 }
@@ -178,8 +196,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.reading = false
-	if c.refused != None {
-		return 0, ErrRefused
+	if e := c.usable(); e != nil {
+		return 0, e
 	}
 	if len(b) == 0 {
 		return 0, err
@@ -222,7 +240,7 @@
 	held := int64(0)
 	a.mu.Lock()
 	// A refused connection may still get its response.
-	if c.refused == None && len(b) > readBuffer && c.port.Kind != Messages {
+	if c.refused == None && !c.closed && len(b) > readBuffer && c.port.Kind != Messages {
 		held = int64(len(b))
 		c.unfinished = false
 		if err := a.charge(c, held); err != nil {
--- a/internal/role/dev/fleet.go
+++ b/internal/role/dev/fleet.go
@@ -227,7 +227,7 @@
 	f.spawn(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = o.Close() })
 		defer stop()
-		return o.Serve(f.Account.Port("operators", account.Requests, false).Listener(l))
+		return o.Serve(f.Account.Port("operators", account.Requests, false).WithMaxBody(operator.MaxBodyBytes).Listener(l))
 	})
 	return nil
 }
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -232,12 +232,13 @@
 }
 
 // forwardedHeaders returns the headers of an item that may reach a target. Its submitter may
-// not set those that the system sets, nor pass on its key.
+// not set those that the system sets, nor pass on its key. A name that is no token, such as one with a
+// colon, would reach the target as another name with another value.
 func forwardedHeaders(d rhubarbgate.Dialect, headers, own []rhubarbgate.Header) []rhubarbgate.Header {
 	var kept []rhubarbgate.Header
 	for _, x := range headers {
 		isOwn := slices.ContainsFunc(own, func(o rhubarbgate.Header) bool { return strings.EqualFold(o.Name, x.Name) })
-		if !isOwn && !target.HopByHop(x.Name) && d.Forwards(x.Name) && !strings.EqualFold(x.Name, lastEventHeader) {
+		if target.IsToken(x.Name) && !isOwn && !target.HopByHop(x.Name) && d.Forwards(x.Name) && !strings.EqualFold(x.Name, lastEventHeader) {
 			kept = append(kept, x)
 		}
 	}
--- a/internal/soak/crowd/crowd_test.go
+++ b/internal/soak/crowd/crowd_test.go
@@ -133,7 +133,6 @@
 type stand struct {
 	t        *testing.T
 	dir      string
-	network  byte
 	hosts    byte
 	list     platformtest.List
 	target   *platformtest.Target
