--- a/internal/command/rhubarbgate/command_test.go
+++ b/internal/command/rhubarbgate/command_test.go
@@ -29,6 +29,9 @@
 		{"entry", []string{"entry", "--control", "nowhere", "--picker", "best"}, []string{"--control", "--availability-zone", "--picker"}},
 		{"side", []string{"side", "--slots", "0", "--control", "127.0.0.1:1", "--listen", "10.1.2.3:7100"}, []string{"--target", "--target-name", "--availability-zone", "--slots", "--certificate"}},
 		{"quarantine", []string{"quarantine", "list", "--control", "nowhere", "--key", "k"}, []string{"--control", "--certificate"}},
+		{"memory", []string{"side", "--memory-limit", "63", "--max-connections", "9"}, []string{"--memory-limit: 63", "--max-connections: 9"}},
+		{"memory of a store host", []string{"store", "--memory-limit=10", "--max-connections=100000000"}, []string{"--memory-limit: 10", "--max-connections: 100000000"}},
+		{"memory that is no number", []string{"entry", "--memory-limit", "lots"}, []string{"lots"}},
 		{"unknown flag", []string{"entry", "--colour", "red"}, []string{"--colour"}},
 		{"load", []string{"load", "--rate", "0"}, []string{"--rate"}},
 		{"soak", []string{"soak", "--seeds", "0", "--duration", "0s", "--size", "0", "--injectors", "-1"}, []string{"--seeds", "--duration", "--size", "--injectors"}},
@@ -88,3 +91,23 @@
 	_, err := os.Stat(foreign)
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// TestMemoryLimitFromSettings guards against a process that does not start because the deployment's settings have no
+// limit of memory, or write it with a fraction.
+func TestMemoryLimitFromSettings(t *testing.T) {
+	for _, x := range []struct {
+		value string
+		want  int
+		fails bool
+	}{
+		{"", defaultMemoryLimit, false}, {"184", 184, false}, {"184.0", 184, false},
+		{"x", 0, true}, {"-1", 0, true}, {"NaN", 0, true}, {"1e300", 0, true},
+	} {
+		o := optionalInt{value: defaultMemoryLimit}
+		err := o.Set(x.value)
+		qt.Check(t, err != nil, qt.Equals, x.fails, qt.Commentf("%q", x.value))
+		if !x.fails {
+			qt.Check(t, o.value, qt.Equals, x.want)
+		}
+	}
+}
--- a/internal/command/rhubarbgate/memory.go
+++ b/internal/command/rhubarbgate/memory.go
@@ -37,7 +37,11 @@
 	pooledBodyBytes = 64 << 10
 )
 
-// optionalInt is a flag whose value may be empty, as a deployment may not have the field it is set from.
+// maxOptional bounds the value of an optionalInt.
+const maxOptional = 1 << 30
+
+// optionalInt is a flag whose value may be empty, as a deployment may not have the field it is set from,
+// and may have a fraction, which is dropped, as settings may be written as 184.0.
 type optionalInt struct{ value int }
 
 func (o *optionalInt) String() string { return strconv.Itoa(o.value) }
@@ -48,11 +52,11 @@
 	if s == "" {
 		return nil
 	}
-	n, err := strconv.Atoi(s)
-	if err != nil {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(f >= 0 && f <= maxOptional) {
 		return errors.NotValidf("%q", s)
 	}
-	o.value = n
+	o.value = int(f)
 	return nil
 }
 
