--- a/internal/http/ingress/contention.go
+++ b/internal/http/ingress/contention.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -76,7 +75,7 @@
 	if !d.Send {
 		s.Counts.NotAdmitted.Add(1)
 		return notRun(rhubarbgate.CodeOverloaded, "service %q has no slot in time: %s; expected wait %v (known: %t), %d offers, %.2f of their slots taken, rank %d",
-			q.service, d.Reason, r.Wait, r.Known, len(q.offered.Choice.Offers()), r.Busy, r.Rank).WithRetryAfter(cmp.Or(d.RetryAfter, noTargetRetryAfter))
+			q.service, d.Reason, r.Wait, r.Known, len(q.offered.Choice.Offers()), r.Busy, r.Rank).WithRetryAfter(d.RetryAfter)
 	}
 	if s.feedback != nil && x.admitted.Service == "" {
 		x.admitted, x.admittedAt = r, s.Clock.Now()
--- a/internal/policy/admission/policy.go
+++ b/internal/policy/admission/policy.go
@@ -35,7 +35,8 @@
 	// that usually misses its objective would otherwise never be queued for.
 	minRoomShare = 0.1
 	// minRankShare is the part of the allowed wait that the lowest ranks keep. The rest of it falls
-	// with 1/(rank+1), because ranks may be a few or combine two priorities into large numbers.
+	// with the number of higher ranks that have requests too. The values of ranks do not count, as
+	// all requests of a deployment may have the same low one.
 	minRankShare = 0.25
 	// usualSmoothing is the weight of a sample in the averages of usual times.
 	usualSmoothing = 0.05
@@ -160,11 +161,13 @@
 
 // allowances returns the parts of the allowed wait that rank and recent use leave.
 func (s *service) allowances(w *workspace, r rhubarbgate.AdmissionRequest, now time.Duration) (rankShare, share float64) {
-	rankShare, share = minRankShare+(1-minRankShare)/float64(max(r.Rank, 0)+1), 1
+	rankShare, share = minRankShare+(1-minRankShare)/float64(s.higherRanks(r.Rank, now)+1), 1
 	if w.inFlight > 0 {
 		share = s.useAllowance(w, now)
 	}
-	if s.rank(r.Rank).starved(now, starvedAfter) || w.inFlight == 0 && w.starved(now, starvedAfter) {
+	rank := s.rank(r.Rank)
+	rank.askedAt = now
+	if rank.starved(now, starvedAfter) || w.inFlight == 0 && w.starved(now, starvedAfter) {
 		rankShare = 1
 	}
 	return rankShare, share
--- a/internal/policy/admission/service.go
+++ b/internal/policy/admission/service.go
@@ -52,6 +52,7 @@
 type rankState struct {
 	refusals
 	rank               int
+	askedAt            time.Duration // of the last request that found no free slot
 	sent, refusedTotal uint64
 }
 
@@ -225,5 +226,17 @@
 	return &s.ranks[s.rankCount-1]
 }
 
+// higherRanks returns the number of ranks above the given one of which requests found no free slot
+// a short time ago.
+func (s *service) higherRanks(rank int, now time.Duration) int {
+	n := 0
+	for i := range s.ranks[:s.rankCount] {
+		if x := &s.ranks[i]; x.rank < rank && now-x.askedAt <= forgetRefusal {
+			n++
+		}
+	}
+	return n
+}
+
 // seconds converts a number of seconds.
 func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
