reserve, gate: fewer preemptions of batch items, and no offers of targets that keep ending

Targets that ended again and again were empty when they came up and were preferred: 168 responses of 502 against 84.

--- a/internal/policy/reserve/ledger.go
+++ b/internal/policy/reserve/ledger.go
@@ -22,6 +22,10 @@
 	reservationTTL = time.Second
 	// reportTTL is the age from which a load report is not offered.
 	reportTTL = time.Second
+	// settleTime is how long a target whose load could not be read is not offered. A target that ends again
+	// and again is empty whenever it is up, so entries would prefer it: requests that failed at
+	// such targets doubled.
+	settleTime = time.Second
 	// maxItemCounts bounds the earlier counts of items, for a report every 20 ms.
 	maxItemCounts = 8
 )
@@ -35,6 +39,8 @@
 
 	reservations []time.Time // by time
 	known        bool
+	lost         bool      // the load cannot be read
+	foundAt      time.Time // when it could be read again, zero if it always could
 	online       int
 	queued       int
 	slowness     float64
@@ -92,19 +98,22 @@
 		}
 		reported = c.n
 	}
+	if l.lost {
+		l.lost, l.foundAt = false, l.Clock.Now()
+	}
 	l.known, l.requestedAt = true, requestedAt
 	l.online, l.queued = max(0, load.Running-reported), max(0, load.Waiting)
 	l.slowness = load.Slowness
 }
 
 // LoadLost records that the target's load cannot be read.
-func (l *Ledger) LoadLost() { l.known = false }
+func (l *Ledger) LoadLost() { l.known, l.lost = false, true }
 
 // Offer returns the offer of a side that runs a number of items, or false while the target's load is
 // not known.
 func (l *Ledger) Offer(items int) (rhubarbgate.TargetOffer, bool) {
 	age := l.Clock.Since(l.requestedAt)
-	if !l.known || age > reportTTL {
+	if !l.known || age > reportTTL || l.Clock.Since(l.foundAt) < settleTime {
 		return rhubarbgate.TargetOffer{}, false
 	}
 	return rhubarbgate.TargetOffer{
--- a/internal/policy/reserve/offer.go
+++ b/internal/policy/reserve/offer.go
@@ -56,12 +56,16 @@
 	return time.Duration(math.Min(wait, float64(math.MaxInt64/2)))
 }
 
-// isBetter reports whether a request is better sent to o than to p.
+// isBetter reports whether a request is better sent to o than to p. A slot that is free already goes
+// before one that a batch item has to leave: the item loses its slot, and the request waits for it.
 func (o *Offer) isBetter(p *Offer, hold time.Duration) bool {
 	if o.isFree() && p.isFree() {
 		if o.isSlow() != p.isSlow() {
 			return p.isSlow()
 		}
+		if o.isIdle() != p.isIdle() {
+			return o.isIdle()
+		}
 		if a, b := o.taken(), p.taken(); a != b {
 			return a < b
 		}
