internal/report/check: bundle check reports faults, useless entries and differences

Operators learned of a refused configuration only from a control host, and of the first fault only. bundle check finds all of them with the validation of control hosts, which now can keep every fault, and adds warnings and differences from a file or from the configuration in force. It sends nothing.

--- a/internal/command/rhubarbgate/operator.go
+++ b/internal/command/rhubarbgate/operator.go
@@ -32,9 +32,9 @@
 
 func newBundle() *cobra.Command {
 	var o operatorFlags
-	c := &cobra.Command{Use: "bundle", Short: "Drafts, signs and commits changes to the configuration"}
+	c := &cobra.Command{Use: "bundle", Short: "Drafts, checks, signs and commits changes to the configuration"}
 	o.add(c)
-	c.AddCommand(newBundleNew(&o), newBundleSign(), newBundleCommit(&o), newBundleStatus(&o))
+	c.AddCommand(newBundleNew(&o), newBundleSign(), newBundleCommit(&o), newBundleStatus(&o), newBundleCheck(&o))
 	return c
 }
 
--- a/internal/command/rhubarbgate/root.go
+++ b/internal/command/rhubarbgate/root.go
@@ -27,8 +27,21 @@
 
 func (e *usageError) Error() string { return strings.Join(e.lines, "\n") }
 
+// statusError ends a command with an exit status of its own. A nil err prints nothing.
+type statusError struct {
+	status int
+	err    error
+}
+
+func (e *statusError) Error() string {
+	if e.err == nil {
+		return ""
+	}
+	return e.err.Error()
+}
+
 // Main runs the command line with args, without the program's name, and returns
-// the exit status: 0 after success, 1 after a failure, 2 if settings are invalid.
+// the exit status: 0 after success, 1 after a failure, 2 if settings are invalid, or that of a statusError.
 // SIGINT and SIGTERM end the context of the command.
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -45,9 +58,17 @@
 	if err == nil {
 		return 0
 	}
+	var s *statusError
+	own := errors.As(err, &s)
+	if own && s.err == nil {
+		return s.status
+	}
 	for _, line := range strings.Split(err.Error(), "\n") {
 		c.PrintErrln("rhubarbgate: " + line)
 	}
+	if own {
+		return s.status
+	}
 	var u *usageError
 	if errors.As(err, &u) {
 		return exitUsage
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -30,9 +30,9 @@
 )
 
 const (
-	// maxBodyBytes and maxHeaderBytes bound a request. The configuration can set a lower
+	// MaxBodyBytes and maxHeaderBytes bound a request. The configuration can set a lower
 	// limit for the body.
-	maxBodyBytes   = 4 << 20
+	MaxBodyBytes   = 4 << 20
 	maxHeaderBytes = 16 << 10
 	// readTimeout bounds how long a caller may take to send a request.
 	readTimeout = 20 * time.Second
@@ -129,7 +129,7 @@
 	s.handle = chain(s.serve, &routeFilter{server: s}, &keyFilter{server: s}, &quarantineFilter{server: s}, &rateFilter{server: s})
 	s.http = &fasthttp.Server{
 		Handler: s.serveHTTP, Name: "rhubarbgate", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
-		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: MaxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: false,
 		CloseOnShutdown: true, Logger: discardLogger{}, ErrorHandler: s.handleReadError, ReduceMemoryUsage: true,
 	}
--- a/internal/http/operator/server.go
+++ b/internal/http/operator/server.go
@@ -146,13 +146,13 @@
 }
 
 func (s *Server) commit(c *fiber.Ctx) error {
-	var b rhubarbgate.Bundle
-	if err := decodeStrict(c.Body(), &b); err != nil {
+	b, err := DecodeBundle(c.Body())
+	if err != nil {
 		return err
 	}
 	ctx, cancel := withCallTimeout(c)
 	defer cancel()
-	reply, err := s.Client.Commit(ctx, &control.Commit{Bundle: b})
+	reply, err := s.Client.Commit(ctx, &control.Commit{Bundle: *b})
 	if err != nil {
 		return err
 	}
@@ -162,6 +162,15 @@
 	return c.JSON(&fleet.CommitResult{Repeated: reply.Result.Repeated, Version: reply.Result.Version})
 }
 
+// DecodeBundle decodes the body of a call that commits a bundle.
+func DecodeBundle(body []byte) (*rhubarbgate.Bundle, error) {
+	var b rhubarbgate.Bundle
+	if err := decodeStrict(body, &b); err != nil {
+		return nil, err
+	}
+	return &b, nil
+}
+
 // decodeStrict decodes JSON and refuses unknown fields, since a misspelled field in a
 // bundle would otherwise be lost without an error.
 func decodeStrict(body []byte, v any) error {
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -24,9 +24,9 @@
 	maxLeaseItems = 256
 	// maxPageBytes bounds one page of a file or of results.
 	maxPageBytes = 1 << 20
-	// maxCommandBytes bounds a command, which has to fit into one message between replicas. A larger one
+	// MaxCommandBytes bounds a command, which has to fit into one message between replicas. A larger one
 	// would be in the leader's log and never be replicated, nor anything after it.
-	maxCommandBytes = wire.MaxMessageBytes - 1<<20
+	MaxCommandBytes = wire.MaxMessageBytes - 1<<20
 )
 
 // registerMethods registers the host's RPC methods and the roles that may call them.
@@ -84,6 +84,23 @@
 	return h.jobGroups[group-1], nil
 }
 
+// checkSize refuses an encoded command that is too large to be replicated.
+func checkSize(data []byte) error {
+	if len(data) > MaxCommandBytes {
+		return rhubarbgate.Errorf(rhubarbgate.CodeTooLarge, rhubarbgate.NotRun, "a command of %d bytes, more than %d, is too large to be replicated", len(data), MaxCommandBytes)
+	}
+	return nil
+}
+
+// CheckBundleSize returns the error with which a control host refuses a bundle that is too large to be replicated.
+func CheckBundleSize(b *rhubarbgate.Bundle) error {
+	data, err := wire.Marshal(&fleet.Command{Bundle: b})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return checkSize(data)
+}
+
 // propose commits a command and returns its result. notLeader reports that this
 // host does not lead the group.
 func (h *Host) propose(ctx context.Context, group uint32, command any) (result any, notLeader bool, err error) {
@@ -97,9 +114,9 @@
 	if err != nil {
 		return nil, false, errors.Trace(err)
 	}
-	if len(data) > maxCommandBytes {
-		h.Logger.WithFields(log.Fields{"group": group, "bytes": len(data), "limit": maxCommandBytes}).Warn("a command is too large to be replicated")
-		return nil, false, rhubarbgate.Errorf(rhubarbgate.CodeTooLarge, rhubarbgate.NotRun, "a command of %d bytes, more than %d, is too large to be replicated", len(data), maxCommandBytes)
+	if err := checkSize(data); err != nil {
+		h.Logger.WithFields(log.Fields{"group": group, "bytes": len(data), "limit": MaxCommandBytes}).Warn("a command is too large to be replicated")
+		return nil, false, err
 	}
 	done := make(chan raft.Result, 1)
 	h.groups[group].Propose(data, func(r raft.Result) {
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -53,9 +53,8 @@
 	if b.Whole {
 		return c.replaceWith(b)
 	}
-	if b.Base != c.Version || b.Version != b.Base+1 {
-		return nil, rhubarbgate.Errorf(rhubarbgate.CodeConflict, rhubarbgate.NotRun,
-			"bundle %d is based on version %d, but version %d is in force", b.Version, b.Base, c.Version)
+	if err := c.CheckBase(b); err != nil {
+		return nil, err
 	}
 	n := *c
 	n.Version = b.Version
@@ -67,6 +66,15 @@
 	return &n, nil
 }
 
+// CheckBase returns an *rhubarbgate.Error if a bundle of changes is based on another version.
+func (c *Config) CheckBase(b *rhubarbgate.Bundle) error {
+	if b.Base != c.Version || b.Version != b.Base+1 {
+		return rhubarbgate.Errorf(rhubarbgate.CodeConflict, rhubarbgate.NotRun,
+			"bundle %d is based on version %d, but version %d is in force", b.Version, b.Base, c.Version)
+	}
+	return nil
+}
+
 // replaceWith returns the full configuration that b holds, whose version must be
 // above that of c.
 func (c *Config) replaceWith(b *rhubarbgate.Bundle) (*Config, error) {
--- a/internal/state/config/finite.go
+++ b/internal/state/config/finite.go
@@ -11,6 +11,12 @@
 // Such a bundle has no JSON, and so neither a digest nor a checksum.
 func CheckFinite(b *rhubarbgate.Bundle) error {
 	v := &validation{config: &Config{Version: b.Version}}
+	v.numbers(b)
+	return v.err()
+}
+
+// numbers checks that all numbers of a bundle are finite.
+func (v *validation) numbers(b *rhubarbgate.Bundle) {
 	for i, x := range b.Put.Workspaces {
 		field := fmt.Sprintf("Put.Workspaces[%d]", i)
 		v.finite(field+".Rate", x.Rate)
@@ -30,7 +36,6 @@
 	for i, x := range b.Put.Services {
 		v.finite(fmt.Sprintf("Put.Services[%d].ColdPerSecond", i), x.ColdPerSecond)
 	}
-	return v.err()
 }
 
 // finite checks that a number is neither a NaN nor infinite.
--- a/internal/state/config/full.go
+++ b/internal/state/config/full.go
@@ -15,6 +15,12 @@
 	}
 	c := FromSection(b.Version, nil, b.Put)
 	v := &validation{config: c}
+	v.full(b)
+	return v.err()
+}
+
+// full checks a bundle that holds a full configuration.
+func (v *validation) full(b *rhubarbgate.Bundle) {
 	v.check(b.Version > 0, "Version", "is missing")
 	v.routes(b.Put.Routes)
 	v.keys(b.Put.Keys)
@@ -24,7 +30,6 @@
 		v.check(x.Rate >= 0 && x.Burst >= 0, field+".Rate", "or Burst is negative")
 	}
 	v.services(b.Put.Services)
-	return v.err()
 }
 
 // services checks the figures of services.
--- a/internal/state/config/validate.go
+++ b/internal/state/config/validate.go
@@ -16,6 +16,12 @@
 // refer to another one of the same bundle.
 func (c *Config) validate(b *rhubarbgate.Bundle) error {
 	v := &validation{config: c}
+	v.changes(b)
+	return v.err()
+}
+
+// changes checks a bundle of changes.
+func (v *validation) changes(b *rhubarbgate.Bundle) {
 	for i, x := range b.Put.Workspaces {
 		v.workspace(fmt.Sprintf("Put.Workspaces[%d]", i), x)
 	}
@@ -37,31 +43,43 @@
 		v.objective(fmt.Sprintf("Put.Objectives[%d]", i), x)
 	}
 	v.services(b.Put.Services)
-	v.removals(b.Remove)
-	return v.err()
+	if !v.partial {
+		v.removals(b.Remove)
+	}
 }
 
-// validation holds the configuration that is checked and the first fault found.
+// validation holds the configuration that is checked and the faults found.
 type validation struct {
 	config *Config
-	fault  string
+	// all keeps every fault. Otherwise only the first is kept, as an error names no more and a document
+	// may have very many.
+	all bool
+	// partial means that the configuration holds only what the bundle puts, so references to other
+	// objects cannot be checked.
+	partial bool
+	faults  []Fault
 }
 
 // err returns the first fault as an *rhubarbgate.Error, or nil.
 func (v *validation) err() error {
-	if v.fault == "" {
+	if len(v.faults) == 0 {
 		return nil
 	}
-	return rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "bundle %d: %s", v.config.Version, v.fault)
+	return rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "bundle %d: %v", v.config.Version, v.faults[0])
 }
 
 // check records a fault of the field unless ok is true.
 func (v *validation) check(ok bool, field, format string, args ...any) {
-	if !ok && v.fault == "" {
-		v.fault = field + " " + fmt.Sprintf(format, args...)
+	if !ok && (v.all || len(v.faults) == 0) {
+		v.faults = append(v.faults, Fault{Field: field, Text: fmt.Sprintf(format, args...)})
 	}
 }
 
+// refer checks a reference to another object.
+func (v *validation) refer(ok bool, field, format string, args ...any) {
+	v.check(ok || v.partial, field, format, args...)
+}
+
 // name checks the name of an object; field is the object.
 func (v *validation) name(field, name string) {
 	v.check(namePattern.MatchString(name), field+".Name", "%q is not a valid name", name)
@@ -81,7 +99,7 @@
 	b, err := hex.DecodeString(x.Digest)
 	v.check(err == nil && len(b) == 32, field+".Digest", "is not a hexadecimal SHA-256")
 	_, ok := v.config.Workspaces[x.Workspace]
-	v.check(ok, field+".Workspace", "%q is unknown", x.Workspace)
+	v.refer(ok, field+".Workspace", "%q is unknown", x.Workspace)
 }
 
 // target checks a target that a bundle of changes puts.
@@ -91,11 +109,11 @@
 	v.check(x.Slots > 0, field+".Slots", "is not positive")
 	for _, m := range x.Models {
 		_, ok := v.config.Models[m]
-		v.check(ok, field+".Models", "%q is unknown", m)
+		v.refer(ok, field+".Models", "%q is unknown", m)
 	}
 	for _, r := range x.Routes {
 		_, ok := v.config.Routes[r]
-		v.check(ok, field+".Routes", "%q is unknown", r)
+		v.refer(ok, field+".Routes", "%q is unknown", r)
 	}
 }
 
@@ -106,7 +124,7 @@
 	v.check(x.FirstToken >= 0 && x.BetweenTokens >= 0, field, "has a negative latency")
 	if x.Workspace != "" {
 		_, ok := v.config.Workspaces[x.Workspace]
-		v.check(ok, field+".Workspace", "%q is unknown", x.Workspace)
+		v.refer(ok, field+".Workspace", "%q is unknown", x.Workspace)
 	}
 }
 
