--- a/internal/report/check/difference.go
+++ b/internal/report/check/difference.go
@@ -69,6 +69,10 @@
 		case !after:
 			r = append(r, Difference{Kind: kind, Name: name, Change: Removed})
 		default:
+			// Most objects are the same in both, and printing them takes far longer than comparing them.
+			if reflect.DeepEqual(x, y) {
+				continue
+			}
 			if f := fields(reflect.ValueOf(x), reflect.ValueOf(y)); len(f) > 0 {
 				r = append(r, Difference{Kind: kind, Name: name, Change: Changed, Fields: f})
 			}
