http/ingress: send a copy of late requests to a second target

A request that may be repeated and whose answer is late waits for one target although another may be free. A pair counts as two possible runs and takes from the hedge and the retry budget.

--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -51,6 +52,29 @@
 	f.Uint16Var(&d.fleetPort, "fleet-port", 0, "with --target-list: port of the fleet's processes on control and store hosts, in place of the ports in --control and --parents, and of sides on the hosts of their targets; 0 keeps the ports, and sides do not listen")
 }
 
+// maxHedgeShare bounds --hedge-share: copies of more than a fifth of the requests load a slow service too much.
+const maxHedgeShare = 0.2
+
+// optionalShare is a flag whose value may be empty, as a deployment may not enable it.
+type optionalShare struct{ value float64 }
+
+func (o *optionalShare) String() string { return strconv.FormatFloat(o.value, 'g', -1, 64) }
+func (o *optionalShare) Type() string   { return "float" }
+
+// Set implements pflag.Value.
+func (o *optionalShare) Set(s string) error {
+	if s == "" {
+		o.value = 0
+		return nil
+	}
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(f >= 0 && f <= maxHedgeShare) {
+		return errors.NotValidf("%q, which is not from 0 to %g,", s, maxHedgeShare)
+	}
+	o.value = f
+	return nil
+}
+
 // replacePorts returns the addresses with their ports replaced by port; 0 keeps
 // them.
 func replacePorts(list []netip.AddrPort, port uint16) []netip.AddrPort {
@@ -82,7 +106,7 @@
 	d := &entry.Direct{
 		AvailabilityZone: e.availabilityZone, Control: replacePorts(a.control, e.direct.fleetPort), Dialect: platform.Dialect{},
 		Directory: e.direct.directory(&v), Wire: wire.NewClient(nil), Clock: boottime.New(), Random: newRandom(0),
-		Logger: newLogger(os.Stdout, "entry"), Metrics: newMetrics("Entry"), MaxAge: e.maxAge, BalancerLag: e.lag, Grace: e.grace,
+		Logger: newLogger(os.Stdout, "entry"), Metrics: newMetrics("Entry"), MaxAge: e.maxAge, BalancerLag: e.lag, Grace: e.grace, HedgeShare: e.hedgeShare.value,
 		SidePort: e.direct.fleetPort, Features: platform.Features(e.direct.features),
 	}
 	if err := v.err(); err != nil {
--- a/internal/command/rhubarbgate/direct_test.go
+++ b/internal/command/rhubarbgate/direct_test.go
@@ -39,3 +39,19 @@
 		}
 	}
 }
+
+// TestHedgeShare guards against an entry that does not start because its deployment does not set the share, and
+// against one that sends more copies than the bound.
+func TestHedgeShare(t *testing.T) {
+	tests := []struct {
+		value string
+		valid bool
+	}{
+		{"", true}, {"0", true}, {"0.05", true}, {"0.2", true}, {"0.21", false}, {"-0.01", false}, {"NaN", false}, {"5%", false},
+	}
+	for _, test := range tests {
+		code, _, errs := run("entry", "--hedge-share="+test.value, "--target-list", "nowhere")
+		qt.Check(t, code, qt.Equals, exitUsage)
+		qt.Check(t, strings.Contains(errs, "hedge-share"), qt.Equals, !test.valid, qt.Commentf("%q: %s", test.value, errs))
+	}
+}
--- a/internal/command/rhubarbgate/entry.go
+++ b/internal/command/rhubarbgate/entry.go
@@ -25,6 +25,7 @@
 	unlimitedRetries        bool
 	subset                  int
 	direct                  directFlags
+	hedgeShare              optionalShare
 }
 
 func newEntry() *cobra.Command {
@@ -42,6 +43,7 @@
 	f.StringVar(&e.hostList, "host-list", "", "without --target-list: URL of the platform's host list, as http://IP:PORT/PATH; empty means none")
 	f.IntVar(&e.subset, "subset", defaultSubset, "without --target-list: most targets of one model or route that this entry uses; 0 means all")
 	e.direct.add(f)
+	f.Var(&e.hedgeShare, "hedge-share", "with --target-list: share of the requests that may be repeated of which a copy may be sent to a second target when the answer is late, from 0 to 0.2; 0 or empty means none")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if e.direct.targetList != "" {
 			return e.runDirect(c.Context())
--- a/internal/http/ingress/contention.go
+++ b/internal/http/ingress/contention.go
@@ -27,12 +27,7 @@
 	if !q.contended {
 		return nil, nil
 	}
-	q.offered = s.Reservations.Ask(x.Context, q.service, rhubarbgate.PickRequest{Workspace: x.Workspace}, candidates)
-	for _, o := range q.offered.Choice.Offers() {
-		s.Targets.RecordLoad(list[o.Candidate], rhubarbgate.TargetLoad{
-			Running: o.Online + o.Reserved + o.Batch, Waiting: o.Queued, Slots: o.Slots, Slowness: o.Slowness,
-		})
-	}
+	q.ask(list, candidates)
 	if err := q.admit(); err != nil {
 		return nil, err
 	}
@@ -58,6 +53,17 @@
 	}
 }
 
+// ask asks the sides of some candidates for a free slot and records the loads that they reply.
+func (q *forwardedRequest) ask(list []*discovery.Target, candidates []rhubarbgate.Candidate) {
+	s, x := q.server, q.x
+	q.offered = s.Reservations.Ask(x.Context, q.service, rhubarbgate.PickRequest{Workspace: x.Workspace}, candidates)
+	for _, o := range q.offered.Choice.Offers() {
+		s.Targets.RecordLoad(list[o.Candidate], rhubarbgate.TargetLoad{
+			Running: o.Online + o.Reserved + o.Batch, Waiting: o.Queued, Slots: o.Slots, Slowness: o.Slowness,
+		})
+	}
+}
+
 // admit returns an error if the admission policy refuses the request. It does not apply to a request that
 // has been sent before.
 func (q *forwardedRequest) admit() *rhubarbgate.Error {
--- a/internal/http/ingress/contention_test.go
+++ b/internal/http/ingress/contention_test.go
@@ -70,14 +70,19 @@
 		list = append(list, &platformtest.Target{Events: 3})
 	}
 	e := newEntry(t, list...)
+	return e, contend(t, e)
+}
+
+// contend lets an entry ask sides for free slots.
+func contend(t *testing.T, e *testEntry) *sides {
 	s := &sides{replies: make(chan []byte, 64), offers: map[netip.AddrPort]rhubarbgate.TargetOffer{}}
 	e.server.Reservations = &reserve.Client{
-		Conn: s, Port: 1, Demand: &policy.Demand{Clock: e.server.Clock, Always: true}, Picker: e.server.Picker.(*pick.LeastRequests),
+		Conn: s, Port: 1, Demand: &policy.Demand{Clock: e.server.Clock, Always: true}, Picker: &pick.LeastRequests{Random: rand.New(rand.NewPCG(4, 4))},
 		Clock: e.server.Clock, Random: rand.New(rand.NewPCG(3, 3)), Logger: e.server.Logger, Counts: reserve.NewClientCounters(new(expvar.Map).Init()),
 	}
 	go e.server.Reservations.Run(t.Context())
 	t.Cleanup(func() { close(s.replies) })
-	return e, s
+	return s
 }
 
 // TestRequestsFollowOffers guards against requests to a target without a free slot, for which no slot is
--- a/internal/http/ingress/exchange.go
+++ b/internal/http/ingress/exchange.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -44,6 +45,9 @@
 
 	content string // cache of contentPart
 
+	// sending counts the attempts on other goroutines that may still read the request's body.
+	sending sync.WaitGroup
+
 	// stopWatch ends the watch on the caller's connection.
 	stopWatch func()
 }
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -74,19 +74,30 @@
 	hasVersion   bool
 	origin       *discovery.Target
 	originSource streams.Source
+	hedging      hedging
 	contention
 }
 
 // attempt is one sending of the request to one target.
 type attempt struct {
 	*forwardedRequest
-	target   *discovery.Target
+	target  *discovery.Target
+	request target.Request
+	// again says that an earlier connection to the target failed.
+	again    bool
 	sent     time.Time
+	ctx      context.Context
 	response *target.Response
 	head     rhubarbgate.TargetResponse
 	cancel   context.CancelFunc
 	finished bool
 	progress crashes.Progress // of the response's body
+	// done receives what a goroutine has read of the response, and early is what it received. Both are
+	// nil for an attempt that is not hedged.
+	done  chan *reading
+	early *reading
+	// paired says that another attempt of the request is in flight when this one fails.
+	paired bool
 }
 
 // forward sends the request to a target. After a failure it sends it to another target,
@@ -103,10 +114,7 @@
 		if n > 1 && !s.shouldRetry(q, last) {
 			break
 		}
-		a, err := q.send(n)
-		if err == nil {
-			err = a.relay()
-		}
+		err := q.sendAndRelay(n)
 		if err == nil {
 			s.Budget.RecordSuccess()
 			return nil
@@ -191,9 +199,23 @@
 	return q
 }
 
-// send makes attempt number n: it sends the request to one target and checks the head of
-// the response.
-func (q *forwardedRequest) send(n int) (*attempt, *rhubarbgate.Error) {
+// sendAndRelay makes attempt number n and passes the response on to the caller.
+func (q *forwardedRequest) sendAndRelay(n int) *rhubarbgate.Error {
+	a, err := q.prepare(n)
+	if err != nil {
+		return err
+	}
+	if q.mayHedge() {
+		return q.hedge(a)
+	}
+	if err = a.send(); err == nil {
+		err = a.relay()
+	}
+	return err
+}
+
+// prepare begins attempt number n: it chooses the target.
+func (q *forwardedRequest) prepare(n int) (*attempt, *rhubarbgate.Error) {
 	s, x := q.server, q.x
 	if err := s.confirmKey(x); n > 1 && err != nil {
 		return nil, err
@@ -238,28 +260,43 @@
 	} else {
 		q.tried = append(q.tried, t)
 	}
+	return q.begin(t, now, remaining, retryUnreached), nil
+}
+
+// begin begins an attempt at a target, which counts as in flight from now on.
+func (q *forwardedRequest) begin(t *discovery.Target, now time.Time, remaining time.Duration, again bool) *attempt {
+	s, x := q.server, q.x
 	r := q.request
 	r.Headers = append(r.Headers[:len(r.Headers):len(r.Headers)], s.Dialect.TargetHeaders(rhubarbgate.TargetCall{
 		Instance: t.Instance.ID, Workspace: x.Workspace, Timeout: remaining,
 	})...)
 	ctx, cancel := deadline.WithTimeout(x.Context, s.Clock, remaining)
-	a := &attempt{forwardedRequest: q, target: t, sent: now, cancel: cancel}
 	s.Targets.Begin(t)
-	response, failure := t.Client.Do(ctx, &r)
+	return &attempt{forwardedRequest: q, target: t, request: r, again: again, sent: now, ctx: ctx, cancel: cancel}
+}
+
+// send sends the request to the attempt's target and checks the head of the response.
+func (a *attempt) send() *rhubarbgate.Error {
+	response, failure := a.target.Client.Do(a.ctx, &a.request)
+	return a.receive(response, failure)
+}
+
+// receive takes the response of the target, or the failure to get one, and checks its head.
+func (a *attempt) receive(response *target.Response, failure error) *rhubarbgate.Error {
 	if failure != nil {
 		e := rhubarbgate.AsError(failure)
 		switch {
 		case e.Verdict != rhubarbgate.NotRun:
-			q.possibleRuns++
+			a.possibleRuns++
 			a.recordBreak(e)
-		case !retryUnreached:
-			q.unreached = append(q.unreached, t)
+		case !a.again:
+			a.unreached = append(a.unreached, a.target)
 		}
 		a.finish(e.Code == rhubarbgate.CodeUpstream)
-		return nil, e
+		return e
 	}
 	a.response = response
-	return a, a.checkHead()
+	return a.checkHead()
 }
 
 // checkBlocked returns an error if the request's prompt is blocked. A trial goes on until a target
@@ -322,8 +359,8 @@
 	return kept
 }
 
-// checkHead returns an error if the target refused the request.
-func (a *attempt) checkHead() *rhubarbgate.Error {
+// observeHead records what the head of the response says about the target.
+func (a *attempt) observeHead() {
 	s := a.server
 	a.head = s.Dialect.DecodeResponse(a.response.Status, a.response.Header)
 	if a.head.Leaving {
@@ -341,12 +378,23 @@
 		s.Targets.RecordLoad(a.target, a.head.Load)
 		s.Reservations.ObserveLoad(a.service, a.head.Load)
 	}
+}
+
+// checkHead returns an error if the target refused the request.
+func (a *attempt) checkHead() *rhubarbgate.Error {
+	s := a.server
+	a.observeHead()
 	if a.head.NotRun {
 		s.Counts.TargetRefusals.Add(1)
 		status := a.response.Status
-		// The short body of a refusal is read, so that the connection can be reused.
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.response, maxRefusalBytes))
+		if a.early == nil {
+			a.readRefusal(a.response)
+		}
 		a.finish(false)
+		if a.paired {
+			// The answer of the other attempt does not wait until a new instance is confirmed.
+			return notRun(rhubarbgate.CodeUnavailable, "target %s refused with status %d", a.target.Instance.ID, status)
+		}
 		if a.restarted = s.Targets.Adopt(a.x.Context, a.target, a.head.Instance, a.sent); a.restarted != nil {
 			if a.head.HasCold {
 				s.Limits.ObserveCold(a.restarted.Name(), a.restarted.Instance.Service, a.head.ColdLeft)
@@ -364,6 +412,11 @@
 // a longer one.
 const maxRefusalBytes = 4 << 10
 
+// readRefusal reads the short body of a refusal, so that the connection can be reused.
+func (a *attempt) readRefusal(r *target.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, maxRefusalBytes))
+}
+
 // finish closes the response and reports the end of the attempt to the table of targets.
 // Further calls have no effect.
 func (a *attempt) finish(failed bool) {
@@ -384,10 +437,7 @@
 	if a.x.Route.Kind == rhubarbgate.Streaming && a.response.Status == fasthttp.StatusOK {
 		return a.startStream()
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes+1))
-	if err == nil && len(body) <= maxBufferedBytes && a.endedWithTarget() {
-		err = errEndedWithTarget
-	}
+	body, err := a.readBody()
 	if err != nil {
 		a.server.Counts.TruncatedResponses.Add(1)
 		a.finish(true)
@@ -420,6 +470,22 @@
 	return nil
 }
 
+// readBody returns the body of the response, or its first part if it is longer than maxBufferedBytes.
+func (a *attempt) readBody() ([]byte, error) {
+	if a.early != nil {
+		return a.early.body, a.early.err
+	}
+	return a.readBodyOf(a.response)
+}
+
+func (a *attempt) readBodyOf(r *target.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes && a.endedWithTarget(r) {
+		err = errEndedWithTarget
+	}
+	return body, err
+}
+
 // copyHead copies the status and the end-to-end headers to the caller's response.
 func (a *attempt) copyHead() {
 	r := &a.x.HTTP.Response
@@ -436,8 +502,8 @@
 
 // endedWithTarget reports whether a response that ends with its connection ended because the
 // target's process did, and so may lack its rest.
-func (a *attempt) endedWithTarget() bool {
-	return a.response.Unframed() && a.server.Targets.HasEnded(a.x.Context, a.target)
+func (a *attempt) endedWithTarget(r *target.Response) bool {
+	return r.Unframed() && a.server.Targets.HasEnded(a.x.Context, a.target)
 }
 
 // recordAnswer records that the target answered the request completely. A failure of the target is no
--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -86,6 +86,9 @@
 func newEntry(t *testing.T, targets ...*platformtest.Target) *testEntry {
 	e := &testEntry{t: t, targets: targets, list: &platformtest.List{Targets: targets}, failingDials: map[string]int{}}
 	for i, x := range targets {
+		if x.Address().IsValid() {
+			continue // started by the test
+		}
 		x.Instance, x.Service, x.Zone, x.Slots = fmt.Sprintf("i-%d", i), "lm", "z", 8
 		qt.Assert(t, x.Start(), qt.IsNil)
 		t.Cleanup(x.Close)
--- a/internal/http/ingress/origin.go
+++ b/internal/http/ingress/origin.go
@@ -104,8 +104,8 @@
 	return known && listed && v == version
 }
 
-// begin records that the target has begun the request's stream, so that only its version continues it.
-func (q *forwardedRequest) begin(t *discovery.Target) {
+// beginStream records that the target has begun the request's stream, so that only its version continues it.
+func (q *forwardedRequest) beginStream(t *discovery.Target) {
 	if q.hasVersion || q.origin != nil {
 		return
 	}
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -75,6 +75,8 @@
 	Picker rhubarbgate.Picker
 	// Budget limits retries of requests that may have run.
 	Budget rhubarbgate.RetryBudget
+	// Hedger, if set, decides when a request that may be repeated is sent to a second target.
+	Hedger rhubarbgate.Hedger
 	Clock  clockwork.Clock
 	Random *rand.Rand
 	Logger log.Interface
@@ -99,11 +101,13 @@
 // streams resumed at another target, responses that were truncated, requests that targets
 // refused, callers that disconnected, requests whose handling panicked, requests whose prompts
 // are blocked, and responses that were withheld because their status would promise that nothing ran, and streams that callers
-// take up, those of them that were refused because of their software version, requests that the admission policy refused, and requests
-// that were refused because all targets are in evacuated zones.
+// take up, those of them that were refused because of their software version, requests that the admission policy refused, requests
+// that were refused because all targets are in evacuated zones, and copies of late requests that were sent, that
+// answered first, and that were not sent, by cause.
 type Counters struct {
 	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises, TakenUp, VersionsGone, NotAdmitted,
-	Evacuated *expvar.Int
+	Evacuated, HedgesSent, HedgesWon *expvar.Int
+	HedgesRefused *expvar.Map
 }
 
 // NewCounters creates the counters and publishes them in m.
@@ -113,7 +117,10 @@
 		m.Set(name, v)
 		return v
 	}
+	refused := new(expvar.Map)
+	m.Set("HedgesRefused", refused)
 	return &Counters{
+		HedgesSent: counter("HedgesSent"), HedgesWon: counter("HedgesWon"), HedgesRefused: refused,
 		Requests: counter("Requests"), Refused: counter("Refused"), Retries: counter("Retries"), Resumed: counter("Resumed"), TruncatedResponses: counter("AnswersCut"),
 		TargetRefusals: counter("TargetsRefused"), DisconnectedCallers: counter("CallersLeft"),
 		Panics: counter("Panics"), Quarantined: counter("RequestsQuarantined"),
@@ -235,6 +242,8 @@
 	s.recordEnded(x)
 	x.stopWatch()
 	x.Cancel(context.Canceled)
+	// The HTTP library reuses the request's body.
+	x.sending.Wait()
 	s.inFlight.Add(-1)
 }
 
--- a/internal/http/ingress/stream.go
+++ b/internal/http/ingress/stream.go
@@ -17,9 +17,12 @@
 // passed on when it is complete. It waits for the first event: after a failure before it
 // the request can still be retried, or the caller gets an error status.
 func (a *attempt) startStream() *rhubarbgate.Error {
-	r := &streamBody{attempt: a}
-	if a.x.Route.Resumable {
-		r.position = events.After(string(a.x.HTTP.Request.Header.Peek(lastEventHeader)))
+	r := &streamBody{attempt: a, position: new(events.Position)}
+	switch {
+	case a.early != nil:
+		r.position = a.early.position
+	case a.x.Route.Resumable:
+		*r.position = events.After(string(a.x.HTTP.Request.Header.Peek(lastEventHeader)))
 	}
 	if e := r.begin(a); e != nil {
 		return e
@@ -30,7 +33,7 @@
 	} else {
 		a.recordOrigin()
 	}
-	a.forwardedRequest.begin(a.target)
+	a.beginStream(a.target)
 	a.copyHead()
 	a.x.HTTP.Response.SetBodyStream(r, -1)
 	return nil
@@ -49,25 +52,24 @@
 type streamBody struct {
 	*attempt
 	events   *events.Reader
-	position events.Position // after the last event passed on
-	unread   []byte          // the part of the current event that Read has not returned
+	position *events.Position // after the last event passed on
+	unread   []byte           // the part of the current event that Read has not returned
 	closed   bool
 }
 
 // begin goes on with the response of an attempt. If it is no stream, or does not begin with the
 // next event, it finishes the attempt and returns an error, and nothing has been passed on.
 func (r *streamBody) begin(a *attempt) *rhubarbgate.Error {
-	err := events.CheckHead(a.response.Header)
-	var first events.Event
-	in := events.NewReader(a.response, &r.position)
-	if err == nil {
-		first, err = in.Next()
+	f := a.early
+	if f == nil {
+		f = &reading{position: r.position}
+		f.readFirstEvent(a.response)
 	}
-	if err != nil {
+	if err := f.err; err != nil {
 		return a.breakOff(err)
 	}
-	r.attempt, r.events = a, in
-	r.setEvent(first)
+	r.attempt, r.events = a, f.events
+	r.setEvent(f.first)
 	return nil
 }
 
@@ -101,7 +103,7 @@
 			r.setEvent(e)
 			continue
 		}
-		if err == io.EOF && r.endedWithTarget() {
+		if err == io.EOF && r.endedWithTarget(r.response) {
 			err = errEndedWithTarget
 		}
 		if err == io.EOF {
@@ -157,7 +159,10 @@
 // resumeOnce continues the stream at one other target.
 func (r *streamBody) resumeOnce() *rhubarbgate.Error {
 	q := r.forwardedRequest
-	a, err := q.send(len(q.tried) + 1)
+	a, err := q.prepare(len(q.tried) + 1)
+	if err == nil {
+		err = a.send()
+	}
 	if err != nil {
 		return err
 	}
@@ -198,7 +203,7 @@
 	}
 	n, err = l.response.Read(b)
 	l.remaining -= n
-	if err == io.EOF && l.endedWithTarget() {
+	if err == io.EOF && l.endedWithTarget(l.response) {
 		err = errEndedWithTarget
 	}
 	switch {
--- a/internal/policy/reserve/offer.go
+++ b/internal/policy/reserve/offer.go
@@ -148,6 +148,9 @@
 // Wait returns the expected wait for a slot at the target of an offer.
 func (c *Choice) Wait(o Offer) time.Duration { return o.wait(c.Hold) }
 
+// HasFreeSlot reports whether the target of an offer has a free slot.
+func (c *Choice) HasFreeSlot(o Offer) bool { return o.isFree() }
+
 // Free reports whether an asked target has a free slot.
 func (c *Choice) Free() bool { return c.free }
 
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -26,6 +26,7 @@
 	"rhubarbgate.example/rhubarbgate/internal/http/ingress"
 	"rhubarbgate.example/rhubarbgate/internal/policy/admission"
 	"rhubarbgate.example/rhubarbgate/internal/policy/cold"
+	"rhubarbgate.example/rhubarbgate/internal/policy/hedge"
 	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/pick"
 	policy "rhubarbgate.example/rhubarbgate/internal/policy/reserve"
@@ -67,6 +68,8 @@
 	// BalancerLag is how long the balancer may still send callers' requests after the
 	// readiness check fails.
 	BalancerLag time.Duration
+	// HedgeShare is the share of the requests that may be repeated of which a copy may be sent; 0 means none.
+	HedgeShare float64
 	// Grace is how long a draining entry waits for its requests, BalancerLag included.
 	Grace time.Duration
 
@@ -159,6 +162,9 @@
 		Picker: &pick.WarmFirst{Picker: picker}, Reservations: d.reservations(picker), Admission: room, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
+	if d.HedgeShare > 0 {
+		d.server.Hedger = &hedge.Policy{Clock: d.Clock, Share: d.HedgeShare}
+	}
 	d.server.Prepare()
 	d.Metrics.Set("RequestsInFlight", expvar.Func(func() any { return d.server.InFlight() }))
 	var tasks conc.WaitGroup
