--- a/bundle.go
+++ b/bundle.go
@@ -22,8 +22,8 @@
 	// Unlimited exempts the workspace from Rate and Burst.
 	Unlimited bool `json:",omitempty"`
 	// Priority ranks the workspace's requests; 0 is the highest. It takes
-	// precedence over the route's priority. Both are stored, but nothing is
-	// scheduled by them.
+	// precedence over the route's priority. Both order the admission of requests
+	// where slots are contended for.
 	Priority int `json:",omitempty"`
 }
 
@@ -58,7 +58,8 @@
 	// Workspace.Priority.
 	Priority int `json:",omitempty"`
 	// Objective is the latency objective; for streams it covers the time to the
-	// first event. It is stored, but nothing is measured against it.
+	// first event. Requests whose expected wait does not fit it are refused where
+	// slots are contended for.
 	Objective time.Duration `json:",omitempty"`
 	// Window is the time from a batch job's submission until its results are due.
 	Window time.Duration `json:",omitempty"`
