--- a/internal/policy/gate/yielding.go
+++ b/internal/policy/gate/yielding.go
@@ -30,29 +30,12 @@
 	preempted          map[uint64]bool // preempted work that has not ended yet
 	loadKnown          bool            // false until the first report and after LoadLost
 	reserved           int             // reservations that no report covers
-	reservedAt         time.Time       // when slots were last reserved, zero if never
-	preemptedAt        time.Time       // of the last preemption
 	// preemptionsEnded are the times, in order, when preempted work ended that the newest report may count.
 	preemptionsEnded []time.Time
 }
 
 var _ rhubarbgate.ReservingGate = (*Yielding)(nil)
 
-const (
-	// restartPause is how long no batch work starts after a preemption while slots are contended
-	// for: less than the time for which a request holds a slot, so that what starts in the next
-	// free slot is not preempted by the next request of the same wave.
-	restartPause = 500 * time.Millisecond
-	// contendedFor is how long slots count as contended for after a reservation.
-	contendedFor = 2 * time.Second
-)
-
-// paused reports whether batch work waits because other work was preempted a short time ago.
-func (y *Yielding) paused() bool {
-	now := y.Clock.Now()
-	return now.Sub(y.reservedAt) < contendedFor && now.Sub(y.preemptedAt) < restartPause
-}
-
 // endedLag is the time for which load reports may count work that has ended: they are 50 ms old when
 // they are read, and reading takes up to 20 ms more.
 const endedLag = 70 * time.Millisecond
@@ -68,9 +51,6 @@
 func (y *Yielding) ObserveReserved(n int) rhubarbgate.Decision {
 	grown := n > y.reserved
 	y.reserved = n
-	if grown {
-		y.reservedAt = y.Clock.Now()
-	}
 	if !grown || !y.loadKnown {
 		return rhubarbgate.Decision{}
 	}
@@ -91,7 +71,6 @@
 		y.running = slices.Delete(y.running, i, i+1)
 		y.preempted[id] = true
 		d.Preempt = append(d.Preempt, id)
-		y.preemptedAt = y.Clock.Now()
 		excess--
 	}
 	return d
@@ -154,7 +133,7 @@
 // counts: the reported load plus the work started since that report, and the batch
 // work that has not ended. Reservations come on top.
 func (y *Yielding) FreeBatchSlots() int {
-	if !y.loadKnown || y.paused() {
+	if !y.loadKnown {
 		return 0
 	}
 	return y.Slots - y.Headroom - y.reserved - max(y.reportedLoad+y.startedSinceReport, len(y.running)+len(y.preempted))
