configuration: log applied versions, failed polls and changes of the parent

Which version a daemon applied, when and from whom could not be told from its log; ConfigPollFailures is only a sum.

--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -147,9 +147,40 @@
 	defer cancel()
 	r, err := wire.Call[control.PollReply](pollCtx, w.Wire, parent, control.MethodPoll, p)
 	if err != nil {
+		w.logFailure(parent, sent, err)
 		return false
 	}
-	return w.ApplyReply(r, sent)
+	before := w.Current().Version
+	keep := w.ApplyReply(r, sent)
+	w.logReply(parent, sent, r, before, keep)
+	return keep
+}
+
+// logFailure logs that a parent did not answer a poll.
+func (w *Watcher) logFailure(parent netip.AddrPort, sent time.Time, err error) {
+	f := log.Fields{"parent": parent.String(), "took": w.Clock.Since(sent).String(), "version": w.Current().Version, "error": err.Error()}
+	if at := w.ConfirmedAt(); !at.IsZero() {
+		f["age"] = w.Clock.Since(at).String()
+	}
+	w.Logger.WithFields(f).Warn("poll of the configuration failed")
+}
+
+// logReply logs a reply that brought another version, or that makes the Watcher poll another parent.
+func (w *Watcher) logReply(parent netip.AddrPort, sent time.Time, r *control.PollReply, before uint64, keep bool) {
+	version := w.Current().Version
+	if version == before && keep {
+		return
+	}
+	l := w.Logger.WithFields(log.Fields{
+		"parent": parent.String(), "took": w.Clock.Since(sent).String(), "held": r.Held.String(), "parentAge": r.Age.String(),
+		"parentVersion": r.Version, "version": version, "from": before,
+	})
+	if version != before {
+		l.Info("configuration applied")
+	}
+	if !keep {
+		l.Warn("polling another parent")
+	}
 }
 
 // pollVersion returns the version to report in a poll; 0 requests the full configuration.
