--- /dev/null
+++ b/internal/controller/configuration/parents_test.go
@@ -0,0 +1,178 @@
+package configuration
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	"rhubarbgate.example/rhubarbgate"
+	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
+	"rhubarbgate.example/rhubarbgate/internal/state/config"
+)
+
+const (
+	// touchTime is how long nothing may have disturbed a daemon before its configuration has to be current,
+	// and applyTime how old an acknowledgement may be then.
+	touchTime = 3 * time.Second
+	applyTime = 2 * time.Second
+	// testRoundTrip is the time of a call and its reply, and testDialTimeout that of a connection to a host
+	// that does not answer.
+	testRoundTrip   = 3 * time.Millisecond
+	testDialTimeout = 600 * time.Millisecond
+	// testHeartbeat is how often the leader confirms the state of a control host.
+	testHeartbeat = 70 * time.Millisecond
+)
+
+// condition is what has become of a parent.
+type condition int
+
+const (
+	sound    condition = iota
+	cutOff             // from the other control hosts, but not from the daemon
+	silent             // packets to it are lost
+	replaced           // its address was given up before the daemon started
+	refusing           // its port is closed
+)
+
+// testFleet is a set of control hosts that commit a version every now and then.
+type testFleet struct {
+	clock      clockwork.Clock
+	versions   []*config.Config
+	bundles    []rhubarbgate.Bundle
+	parents    []*Watcher
+	conditions []condition
+	disturbed  atomic.Bool
+	committed  []time.Time // by version; when it was acknowledged
+}
+
+// newest returns the newest version that was acknowledged by the given time.
+func (f *testFleet) newest(at time.Time) uint64 {
+	v := 0
+	for v+1 < len(f.committed) && !f.committed[v+1].After(at) {
+		v++
+	}
+	return uint64(v)
+}
+
+// condition returns the present condition of a parent.
+func (f *testFleet) condition(i int) condition {
+	if f.disturbed.Load() || f.conditions[i] == replaced {
+		return f.conditions[i]
+	}
+	return sound
+}
+
+// confirm lets the control hosts that the leader reaches hear of the newest version.
+func (f *testFleet) confirm() {
+	v := len(f.committed) - 1
+	for i, p := range f.parents {
+		if c := f.condition(i); c == sound {
+			p.ApplyReply(&control.PollReply{Version: uint64(v), Sum: f.versions[v].Sum, Bundles: f.bundles[p.Current().Version:v], Groups: 1}, f.clock.Now())
+		}
+	}
+}
+
+// call sends a poll to a parent.
+func (f *testFleet) call(ctx context.Context, address netip.AddrPort, p *control.Poll) (*control.PollReply, error) {
+	i := int(address.Port()) - 1
+	if err := f.travel(ctx, i); err != nil {
+		return nil, err
+	}
+	r := replyToPoll(ctx, f.parents[i], f.clock, p)
+	return r, f.travel(ctx, i)
+}
+
+// travel waits until a message has reached a parent, or its reply the daemon.
+func (f *testFleet) travel(ctx context.Context, i int) error {
+	time.Sleep(testRoundTrip / 2)
+	switch f.condition(i) {
+	case refusing:
+		return errors.New("connection refused")
+	case replaced:
+		select {
+		case <-ctx.Done():
+		case <-time.After(testDialTimeout):
+		}
+		return errors.New("connect timed out")
+	case silent:
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+// TestVersionsAreAppliedInTime guards against an entry that handles requests by an old version, seconds after a newer one was
+// acknowledged, because its parents are cut off, silent or gone (rule CONFIG).
+func TestVersionsAreAppliedInTime(t *testing.T) {
+	tests := []struct {
+		name       string
+		conditions []condition
+	}{
+		{"parent cut off", []condition{cutOff, sound, sound}},
+		{"parent silent", []condition{silent, sound, sound}},
+		{"parent refuses", []condition{refusing, sound, sound}},
+		{"parent cut off, others were replaced", []condition{cutOff, replaced, replaced, sound, sound}},
+		{"parent silent, others were replaced", []condition{silent, replaced, replaced, sound, sound}},
+		{"most parents silent", []condition{silent, silent, silent, silent, sound}},
+		{"most parents cut off", []condition{cutOff, cutOff, cutOff, sound}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(60) {
+				synctest.Test(t, func(t *testing.T) { playParents(t, seed, test.conditions) })
+			}
+		})
+	}
+}
+
+// playParents disturbs some parents of a daemon while versions are committed, and checks the version that it holds.
+func playParents(t *testing.T, seed uint64, conditions []condition) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	clock := clockwork.NewRealClock()
+	f := &testFleet{clock: clock, conditions: conditions, committed: []time.Time{{}}}
+	f.versions, f.bundles = history(80)
+	var addresses []netip.AddrPort
+	for i := range conditions {
+		p := newWatcher(clock)
+		p.current = config.New()
+		f.parents = append(f.parents, p)
+		addresses = append(addresses, netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)))
+	}
+	w := &Watcher{
+		Call: f.call, Parents: addresses, Clock: clock, Random: rand.New(rand.NewPCG(seed, 2)),
+		Logger: &log.Logger{Handler: discard.New()}, Failures: new(expvar.Int),
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	startedAt := clock.Now()
+	disturbedAt := startedAt.Add(2*time.Second + time.Duration(random.Int64N(int64(2*time.Second))))
+	nextCommit, nextBeat := startedAt, startedAt
+	for now := startedAt; now.Before(disturbedAt.Add(2 * touchTime)); now = clock.Now() {
+		f.disturbed.Store(!now.Before(disturbedAt))
+		if !now.Before(nextCommit) && len(f.committed) < len(f.versions) {
+			f.committed = append(f.committed, now)
+			nextCommit = now.Add(time.Duration(50+random.IntN(350)) * time.Millisecond)
+		}
+		if !now.Before(nextBeat) {
+			f.confirm()
+			nextBeat = now.Add(testHeartbeat)
+		}
+		if want := f.newest(now.Add(-applyTime)); now.Sub(disturbedAt) >= touchTime && w.Current().Version < want {
+			qt.Assert(t, w.Current().Version >= want, qt.IsTrue, qt.Commentf("seed %d: %v after the disturbance version %d is in force, and version %d was acknowledged %v ago",
+				seed, now.Sub(disturbedAt), w.Current().Version, want, now.Sub(f.committed[want])))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -41,6 +41,8 @@
 // so they must not call the Watcher.
 type Watcher struct {
 	Wire *wire.Client
+	// Call, if set, sends polls instead of Wire.
+	Call func(ctx context.Context, parent netip.AddrPort, p *control.Poll) (*control.PollReply, error)
 	// Parents are the configured parents; control hosts that a reply names are added.
 	Parents []netip.AddrPort
 	Clock   clockwork.Clock
@@ -145,7 +147,7 @@
 	sent := w.Clock.Now()
 	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	r, err := wire.Call[control.PollReply](pollCtx, w.Wire, parent, control.MethodPoll, p)
+	r, err := w.call(pollCtx, parent, p)
 	if err != nil {
 		w.logFailure(parent, sent, err)
 		return false
@@ -156,6 +158,14 @@
 	return keep
 }
 
+// call sends a poll and waits for its reply.
+func (w *Watcher) call(ctx context.Context, parent netip.AddrPort, p *control.Poll) (*control.PollReply, error) {
+	if w.Call != nil {
+		return w.Call(ctx, parent, p)
+	}
+	return wire.Call[control.PollReply](ctx, w.Wire, parent, control.MethodPoll, p)
+}
+
 // logFailure logs that a parent did not answer a poll.
 func (w *Watcher) logFailure(parent netip.AddrPort, sent time.Time, err error) {
 	f := log.Fields{"parent": parent.String(), "took": w.Clock.Since(sent).String(), "version": w.Current().Version, "error": err.Error()}
