configuration: search for a parent without waiting for those that do not reply

Cause: a daemon polled one parent at a time. It kept a parent whose configuration was up to 2 s old and waited another second for its held reply, so it left a host that was cut off from the quorum after up to 3.25 s; a silent one cost 1.8 s, and each seed that had been replaced since the start another 0.6 s and a backoff. The waits added up to more than the 3 s in which an entry has to be current.

TestVersionsAreAppliedInTime failed in 5 of 7 cases.

Now the daemon polls others once a reply is overdue, fails or is old, and takes the first current one; a control host counts as old after 0.5 s. The time to a current reply depends on the slowest of these steps instead of their sum. parents.Order asks first those that did not fail, in random order, as all entries had moved to the same host.

Result: the test passes.

--- a/internal/controller/configuration/parents_test.go
+++ b/internal/controller/configuration/parents_test.go
@@ -51,6 +51,7 @@
 	versions   []*config.Config
 	bundles    []rhubarbgate.Bundle
 	parents    []*Watcher
+	peers      control.Peers
 	conditions []condition
 	disturbed  atomic.Bool
 	committed  []time.Time // by version; when it was acknowledged
@@ -78,7 +79,7 @@
 	v := len(f.committed) - 1
 	for i, p := range f.parents {
 		if c := f.condition(i); c == sound {
-			p.ApplyReply(&control.PollReply{Version: uint64(v), Sum: f.versions[v].Sum, Bundles: f.bundles[p.Current().Version:v], Groups: 1}, f.clock.Now())
+			p.ApplyReply(&control.PollReply{Version: uint64(v), Sum: f.versions[v].Sum, Bundles: f.bundles[p.Current().Version:v], Groups: 1, Peers: f.peers}, f.clock.Now())
 		}
 	}
 }
@@ -142,11 +143,14 @@
 	f := &testFleet{clock: clock, conditions: conditions, committed: []time.Time{{}}}
 	f.versions, f.bundles = history(80)
 	var addresses []netip.AddrPort
-	for i := range conditions {
+	for i, c := range conditions {
 		p := newWatcher(clock)
 		p.current = config.New()
 		f.parents = append(f.parents, p)
 		addresses = append(addresses, netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)))
+		if c != replaced {
+			f.peers.Controls = append(f.peers.Controls, addresses[i])
+		}
 	}
 	w := &Watcher{
 		Call: f.call, Parents: addresses, Clock: clock, Random: rand.New(rand.NewPCG(seed, 2)),
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -14,27 +14,15 @@
 
 	"rhubarbgate.example/rhubarbgate"
 	"rhubarbgate.example/rhubarbgate/internal/policy/evacuation"
+	"rhubarbgate.example/rhubarbgate/internal/policy/parents"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
 	"rhubarbgate.example/rhubarbgate/internal/state/config"
 )
 
-const (
-	// pollHold is how long a parent delays its reply while nothing changes.
-	pollHold = time.Second
-	// pollTimeout bounds a poll including pollHold; after it another parent is polled.
-	pollTimeout = pollHold + 800*time.Millisecond
-	// pollBackoffBase is doubled for each failed poll in a row, up to maxPollBackoff,
-	// which allows several polls before the configuration is stale.
-	pollBackoffBase = 100 * time.Millisecond
-	maxPollBackoff  = 300 * time.Millisecond
-	// maxParentAge is the age of a parent's configuration from which on another parent
-	// is polled.
-	maxParentAge = 2 * time.Second
-	// maxBundles is how many bundles a relay keeps for its children; a child that
-	// lacks more gets the full configuration.
-	maxBundles = 256
-)
+// maxBundles is how many bundles a relay keeps for its children; a child that lacks
+// more gets the full configuration.
+const maxBundles = 256
 
 // Watcher polls the configuration of its parents, which are control hosts or
 // relays. Its version never decreases. The callbacks run while the lock is held,
@@ -79,31 +67,12 @@
 	targetLimits       control.TargetLimits
 	evacuation         evacuation.Set
 	needsFull          bool
+	order              parents.Order // used by Run only
 	notifier           Notifier
 }
 
 var _ Source = (*Watcher)(nil)
 
-// Run polls one parent at a time until ctx ends, and the next one after a failure.
-func (w *Watcher) Run(ctx context.Context) {
-	parent := w.Random.IntN(len(w.Parents))
-	failures := 0
-	for ctx.Err() == nil {
-		parents := w.parents()
-		if w.poll(ctx, parents[parent%len(parents)]) {
-			failures = 0
-			continue
-		}
-		w.Failures.Add(1)
-		failures++
-		parent++
-		select {
-		case <-ctx.Done():
-		case <-w.Clock.After(w.backoff(failures)):
-		}
-	}
-}
-
 // parents returns the configured parents, then the control hosts that replies named.
 func (w *Watcher) parents() []netip.AddrPort {
 	w.mu.RLock()
@@ -124,75 +93,6 @@
 	return w.peers
 }
 
-// backoff returns the wait after consecutive failures: half of pollBackoffBase plus
-// a random time below an exponential bound, so that daemons that lose a parent at
-// the same time do not poll the next one at the same time.
-func (w *Watcher) backoff(failures int) time.Duration {
-	bound := min(pollBackoffBase<<min(failures, 10), maxPollBackoff)
-	return pollBackoffBase/2 + time.Duration(w.Random.Int64N(int64(bound)))
-}
-
-// poll polls one parent and reports whether to keep polling it.
-func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort) bool {
-	list, _ := w.Targets()
-	evacuationVersion := w.Evacuation().Version
-	p := &control.Poll{
-		Version: w.pollVersion(), Wait: pollHold, Targets: list.Digest,
-		Quarantine: w.Quarantine(w.Clock.Now()).Version, Limits: w.TargetLimits().Version,
-		Evacuation: &evacuationVersion,
-	}
-	if w.Groups() == 0 {
-		p.Wait = 0
-	}
-	sent := w.Clock.Now()
-	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	r, err := w.call(pollCtx, parent, p)
-	if err != nil {
-		w.logFailure(parent, sent, err)
-		return false
-	}
-	before := w.Current().Version
-	keep := w.ApplyReply(r, sent)
-	w.logReply(parent, sent, r, before, keep)
-	return keep
-}
-
-// call sends a poll and waits for its reply.
-func (w *Watcher) call(ctx context.Context, parent netip.AddrPort, p *control.Poll) (*control.PollReply, error) {
-	if w.Call != nil {
-		return w.Call(ctx, parent, p)
-	}
-	return wire.Call[control.PollReply](ctx, w.Wire, parent, control.MethodPoll, p)
-}
-
-// logFailure logs that a parent did not answer a poll.
-func (w *Watcher) logFailure(parent netip.AddrPort, sent time.Time, err error) {
-	f := log.Fields{"parent": parent.String(), "took": w.Clock.Since(sent).String(), "version": w.Current().Version, "error": err.Error()}
-	if at := w.ConfirmedAt(); !at.IsZero() {
-		f["age"] = w.Clock.Since(at).String()
-	}
-	w.Logger.WithFields(f).Warn("poll of the configuration failed")
-}
-
-// logReply logs a reply that brought another version, or that makes the Watcher poll another parent.
-func (w *Watcher) logReply(parent netip.AddrPort, sent time.Time, r *control.PollReply, before uint64, keep bool) {
-	version := w.Current().Version
-	if version == before && keep {
-		return
-	}
-	l := w.Logger.WithFields(log.Fields{
-		"parent": parent.String(), "took": w.Clock.Since(sent).String(), "held": r.Held.String(), "parentAge": r.Age.String(),
-		"parentVersion": r.Version, "version": version, "from": before,
-	})
-	if version != before {
-		l.Info("configuration applied")
-	}
-	if !keep {
-		l.Warn("polling another parent")
-	}
-}
-
 // pollVersion returns the version to report in a poll; 0 requests the full configuration.
 func (w *Watcher) pollVersion() uint64 {
 	w.mu.RLock()
@@ -204,8 +104,7 @@
 }
 
 // ApplyReply applies a reply to a poll that was sent at the given time. It reports
-// whether to keep polling the parent: false if the reply does not apply or the
-// parent's configuration is older than maxParentAge.
+// whether the reply applies.
 func (w *Watcher) ApplyReply(r *control.PollReply, sent time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -242,7 +141,7 @@
 	if changed || newNeeds || targetsChanged || quarantineChanged || limitsChanged || evacuationChanged {
 		w.notifier.Notify()
 	}
-	return r.Age < maxParentAge
+	return true
 }
 
 // applyTargets applies a list of targets that was requested later than the current
