configuration, control: ask a host that does not reply over a new connection

With open connections silent and new ones working, as behind a device that lost its table, a daemon tried its pooled connections one after the other: each poll cost 1.3 s or more, each call to a control host 0.6 s, and idle connections to every host are pooled, up to 64 a host.

wire.Client.Forget starts a new generation of connections to a peer; those of earlier ones expire unused. Polls that are overdue and calls that time out use it.

--- a/internal/controller/configuration/follow.go
+++ b/internal/controller/configuration/follow.go
@@ -40,6 +40,9 @@
 
 // Run follows one parent until ctx ends, and finds another one when that fails.
 func (w *Watcher) Run(ctx context.Context) {
+	if w.Transport == nil {
+		w.Transport = wireTransport{w.Wire}
+	}
 	w.order.Clock, w.order.Random = w.Clock, w.Random
 	var polls conc.WaitGroup
 	defer polls.Wait()
@@ -70,6 +73,7 @@
 	nextAt := startedAt.Add(pollOverdue)
 	timer := w.Clock.NewTimer(pollOverdue)
 	defer timer.Stop()
+	replied := false // whether the parent that was polled last has, or could not be reached
 	for failures := 0; ; {
 		select {
 		case <-ctx.Done():
@@ -82,16 +86,20 @@
 			w.Failures.Add(1)
 			w.order.Failed(o.parent)
 			failures++
+			replied = replied || o.parent == parent
 			now := w.Clock.Now()
 			if at := now.Add(w.backoff(failures)); at.Before(nextAt) {
 				nextAt = at
 				timer.Reset(at.Sub(now))
 			}
 		case now := <-timer.Chan():
-			w.order.Failed(parent)
+			if !replied {
+				w.order.Failed(parent)
+				w.Transport.Forget(parent)
+			}
 			next := w.order.Next(w.parents())
 			w.Logger.WithFields(log.Fields{"parent": next.String(), "previous": parent.String(), "waited": now.Sub(startedAt).String(), "failures": failures}).Info("polling another parent")
-			parent = next
+			parent, replied = next, false
 			start(parent, 0)
 			nextAt = now.Add(searchInterval)
 			timer.Reset(searchInterval)
@@ -123,7 +131,7 @@
 	sent := w.Clock.Now()
 	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	r, err := w.call(pollCtx, parent, p)
+	r, err := w.Transport.Poll(pollCtx, parent, p)
 	if err != nil {
 		if ctx.Err() == nil {
 			w.logFailure(parent, sent, err)
@@ -136,12 +144,20 @@
 	return current
 }
 
-// call sends a poll and waits for its reply.
-func (w *Watcher) call(ctx context.Context, parent netip.AddrPort, p *control.Poll) (*control.PollReply, error) {
-	if w.Call != nil {
-		return w.Call(ctx, parent, p)
-	}
-	return wire.Call[control.PollReply](ctx, w.Wire, parent, control.MethodPoll, p)
+// Transport sends polls to parents.
+type Transport interface {
+	// Poll sends a poll and waits for its reply.
+	Poll(ctx context.Context, parent netip.AddrPort, p *control.Poll) (*control.PollReply, error)
+	// Forget makes later polls of the parent use connections that are opened from now on.
+	Forget(parent netip.AddrPort)
+}
+
+// wireTransport sends polls over the pooled connections of a client.
+type wireTransport struct{ *wire.Client }
+
+// Poll implements Transport.
+func (t wireTransport) Poll(ctx context.Context, parent netip.AddrPort, p *control.Poll) (*control.PollReply, error) {
+	return wire.Call[control.PollReply](ctx, t.Client, parent, control.MethodPoll, p)
 }
 
 // maxAge returns the age from which on a parent's configuration is old.
--- a/internal/controller/configuration/parents_test.go
+++ b/internal/controller/configuration/parents_test.go
@@ -43,6 +43,7 @@
 	silent             // packets to it are lost
 	replaced           // its address was given up before the daemon started
 	refusing           // its port is closed
+	stuck              // connections to it that were open are silent, new ones work
 )
 
 // testFleet is a set of control hosts that commit a version every now and then.
@@ -54,7 +55,8 @@
 	peers      control.Peers
 	conditions []condition
 	disturbed  atomic.Bool
-	committed  []time.Time // by version; when it was acknowledged
+	reopened   []atomic.Bool // by parent: whether a new connection is used since the disturbance
+	committed  []time.Time   // by version; when it was acknowledged
 }
 
 // newest returns the newest version that was acknowledged by the given time.
@@ -78,24 +80,33 @@
 func (f *testFleet) confirm() {
 	v := len(f.committed) - 1
 	for i, p := range f.parents {
-		if c := f.condition(i); c == sound {
+		if c := f.condition(i); c == sound || c == stuck {
 			p.ApplyReply(&control.PollReply{Version: uint64(v), Sum: f.versions[v].Sum, Bundles: f.bundles[p.Current().Version:v], Groups: 1, Peers: f.peers}, f.clock.Now())
 		}
 	}
 }
 
-// call sends a poll to a parent.
-func (f *testFleet) call(ctx context.Context, address netip.AddrPort, p *control.Poll) (*control.PollReply, error) {
+// Forget implements Transport.
+func (f *testFleet) Forget(parent netip.AddrPort) {
+	if f.disturbed.Load() {
+		f.reopened[parent.Port()-1].Store(true)
+	}
+}
+
+// Poll implements Transport.
+func (f *testFleet) Poll(ctx context.Context, address netip.AddrPort, p *control.Poll) (*control.PollReply, error) {
 	i := int(address.Port()) - 1
-	if err := f.travel(ctx, i); err != nil {
+	reopened := f.reopened[i].Load()
+	if err := f.travel(ctx, i, reopened); err != nil {
 		return nil, err
 	}
 	r := replyToPoll(ctx, f.parents[i], f.clock, p)
-	return r, f.travel(ctx, i)
+	return r, f.travel(ctx, i, reopened)
 }
 
-// travel waits until a message has reached a parent, or its reply the daemon.
-func (f *testFleet) travel(ctx context.Context, i int) error {
+// travel waits until a message has reached a parent, or its reply the daemon, over a connection that may have been
+// opened since the disturbance.
+func (f *testFleet) travel(ctx context.Context, i int, reopened bool) error {
 	time.Sleep(testRoundTrip / 2)
 	switch f.condition(i) {
 	case refusing:
@@ -106,6 +117,10 @@
 		case <-time.After(testDialTimeout):
 		}
 		return errors.New("connect timed out")
+	case stuck:
+		if !reopened {
+			<-ctx.Done()
+		}
 	case silent:
 		<-ctx.Done()
 	}
@@ -125,6 +140,8 @@
 		{"parent cut off, others were replaced", []condition{cutOff, replaced, replaced, sound, sound}},
 		{"parent silent, others were replaced", []condition{silent, replaced, replaced, sound, sound}},
 		{"most parents silent", []condition{silent, silent, silent, silent, sound}},
+		{"open connections silent", []condition{stuck, stuck, stuck}},
+		{"open connections silent, others were replaced", []condition{stuck, replaced, replaced, stuck, stuck}},
 		{"most parents cut off", []condition{cutOff, cutOff, cutOff, sound}},
 	}
 	for _, test := range tests {
@@ -140,7 +157,7 @@
 func playParents(t *testing.T, seed uint64, conditions []condition) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	clock := clockwork.NewRealClock()
-	f := &testFleet{clock: clock, conditions: conditions, committed: []time.Time{{}}}
+	f := &testFleet{clock: clock, conditions: conditions, committed: []time.Time{{}}, reopened: make([]atomic.Bool, len(conditions))}
 	f.versions, f.bundles = history(80)
 	var addresses []netip.AddrPort
 	for i, c := range conditions {
@@ -153,7 +170,7 @@
 		}
 	}
 	w := &Watcher{
-		Call: f.call, Parents: addresses, Clock: clock, Random: rand.New(rand.NewPCG(seed, 2)),
+		Transport: f, Parents: addresses, Clock: clock, Random: rand.New(rand.NewPCG(seed, 2)),
 		Logger: &log.Logger{Handler: discard.New()}, Failures: new(expvar.Int),
 	}
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/controller/configuration/watcher.go
+++ b/internal/controller/configuration/watcher.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"context"
 	"expvar"
 	"math/rand/v2"
 	"net/netip"
@@ -29,8 +28,8 @@
 // so they must not call the Watcher.
 type Watcher struct {
 	Wire *wire.Client
-	// Call, if set, sends polls instead of Wire.
-	Call func(ctx context.Context, parent netip.AddrPort, p *control.Poll) (*control.PollReply, error)
+	// Transport, if set, sends polls instead of Wire.
+	Transport Transport
 	// Parents are the configured parents; control hosts that a reply names are added.
 	Parents []netip.AddrPort
 	Clock   clockwork.Clock
--- a/internal/rpc/control/client.go
+++ b/internal/rpc/control/client.go
@@ -167,6 +167,7 @@
 			c.setLeader(group, netip.AddrPort{})
 			if timedOut {
 				c.avoid(a)
+				c.Wire.Forget(a)
 			}
 		}
 		if !c.waitToRetry(ctx) {
--- a/internal/rpc/wire/client.go
+++ b/internal/rpc/wire/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -43,12 +44,21 @@
 	// Dialer opens TCP connections; nil means a net.Dialer without options.
 	Dialer *net.Dialer
 
-	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	pool *drpcpool.Pool[poolKey, drpcpool.Conn]
+
+	mu          sync.Mutex
+	generations map[netip.AddrPort]uint64 // of the peers that were forgotten
+}
+
+// poolKey names the connections to a peer that were opened since it was last forgotten.
+type poolKey struct {
+	peer       netip.AddrPort
+	generation uint64
 }
 
 // NewClient returns a Client with an empty connection pool. A nil c means plain TCP.
 func NewClient(c *tls.Config) *Client {
-	return &Client{TLS: c, pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
+	return &Client{TLS: c, pool: drpcpool.New[poolKey, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleConnLifetime,
 		KeyCapacity: idleConnsPerPeer,
 	})}
@@ -57,18 +67,33 @@
 // Close closes all idle connections.
 func (c *Client) Close() error { return errors.Trace(c.pool.Close()) }
 
+// Forget makes later calls to a peer use connections that are opened from now on. Connections that
+// are open may have fallen silent together, for instance in a network device between the hosts, while
+// new ones work.
+func (c *Client) Forget(a netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.generations == nil {
+		c.generations = map[netip.AddrPort]uint64{}
+	}
+	c.generations[a]++
+}
+
 func (c *Client) conn(ctx context.Context, a netip.AddrPort) drpcpool.Conn {
-	return c.pool.Get(ctx, a, c.dial)
+	c.mu.Lock()
+	k := poolKey{a, c.generations[a]}
+	c.mu.Unlock()
+	return c.pool.Get(ctx, k, c.dial)
 }
 
-func (c *Client) dial(ctx context.Context, a netip.AddrPort) (drpcpool.Conn, error) {
+func (c *Client) dial(ctx context.Context, k poolKey) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	d := c.Dialer
 	if d == nil {
 		d = &net.Dialer{}
 	}
-	n, err := socket.Redial(ctx, clockwork.NewRealClock(), d, redialInterval, a.String())
+	n, err := socket.Redial(ctx, clockwork.NewRealClock(), d, redialInterval, k.peer.String())
 	if err != nil {
 		return nil, &dialError{err}
 	}
