http/target: a response whose status does not exist is none

Cause: fasthttp's ResponseHeader keeps 000 as 0, its value for 'not set', and reports 200 for that. It also takes any first word for the protocol, and a status such as 099 or 999 was passed on as it was.

The client now checks the status line before the library reads it: HTTP/1.0 or 1.1 and a status from 100 to 599. Anything else is a failed response after which the request may have run: a safe request goes to another target, an unsafe one gets 502.

--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -381,6 +381,9 @@
 func (cn *conn) nextResponse(noBody, acceptCloseDelimited bool) (*Response, error) {
 	var h fasthttp.ResponseHeader
 	for range maxInterimResponses + 1 {
+		if err := checkStatusLine(cn.reader); err != nil {
+			return nil, err
+		}
 		if err := h.Read(cn.reader); err != nil {
 			return nil, errors.Trace(err)
 		}
