--- a/internal/consensus/raft/poll.go
+++ b/internal/consensus/raft/poll.go
@@ -234,6 +234,7 @@
 		w.Release()
 		if err != nil {
 			g.Logger.WithError(err).WithField("group", g.ID).Error("saving the snapshot failed")
+			saved = SnapshotMeta{}
 		}
 		g.enqueue(func(b *inbox) { b.compact = &saved })
 	})
--- a/internal/consensus/raft/storage.go
+++ b/internal/consensus/raft/storage.go
@@ -41,7 +41,8 @@
 type SnapshotStore interface {
 	// Latest returns the newest complete snapshot.
 	Latest() (SnapshotMeta, bool)
-	// Save writes a snapshot, syncs it and returns m with its size and checksum.
+	// Save writes a snapshot, syncs it and returns m with its size and checksum. After an error the
+	// snapshot is not stored.
 	Save(m SnapshotMeta, w rhubarbgate.SnapshotWriter) (SnapshotMeta, error)
 	// ReadChunk returns up to limit bytes of the latest snapshot from offset on. It
 	// fails if the latest snapshot is not the one at index.
--- a/internal/storage/disk/snapshot.go
+++ b/internal/storage/disk/snapshot.go
@@ -108,7 +108,10 @@
 	if m.Index <= s.latest.Meta.Index {
 		return raft.SnapshotMeta{}, errors.AlreadyExistsf("snapshot at or behind index %d", m.Index)
 	}
-	return m, s.commit(tmp, snapshotRecord{Meta: m})
+	if err := s.commit(tmp, snapshotRecord{Meta: m}); err != nil {
+		return raft.SnapshotMeta{}, errors.Trace(err)
+	}
+	return m, nil
 }
 
 // writeSnapshot writes and syncs a content file; it returns its CRC-32C and size.
