raft, disk: wait for room on a full disk

Each start reads all state, and a host that ends takes its part of the reads, leases and polls with it.

Cause: every error of the log stopped the replica, also one that goes away by itself. ENOSPC and EDQUOT now leave the write in progress, and it is attempted again every 0.1 s. What depends on it waits, as with a slow disk: a leader steps down after 1 s, a follower does not campaign. A stop does not wait for room. disk.Log.Reset opened its new file after it had closed the old one, so that a second attempt failed with 'file already closed'; it closes the old one last.

--- a/internal/consensus/raft/cluster_test.go
+++ b/internal/consensus/raft/cluster_test.go
@@ -24,6 +24,8 @@
 	// failNextAppend makes the next Append fail without a change, as a crash before
 	// the sync does.
 	failNextAppend bool
+	// full makes writes fail without a change.
+	full bool
 }
 
 func (f *fakeLog) Load() (Stored, bool, error) {
@@ -33,6 +35,9 @@
 }
 
 func (f *fakeLog) Append(h HardState, entries []Entry) error {
+	if f.full {
+		return errFull
+	}
 	if f.failNextAppend {
 		f.failNextAppend = false
 		return io.ErrShortWrite
@@ -45,6 +50,9 @@
 }
 
 func (f *fakeLog) Reset(s Stored) error {
+	if f.full {
+		return errFull
+	}
 	s.Entries = append([]Entry(nil), s.Entries...)
 	f.stored, f.present = s, true
 	return nil
@@ -56,6 +64,8 @@
 	data     []byte
 	partial  []byte
 	incoming SnapshotMeta
+	// full makes Save fail after the content is written.
+	full bool
 }
 
 func (f *fakeSnapshots) Latest() (SnapshotMeta, bool) { return f.meta, f.meta.Index > 0 }
@@ -69,6 +79,9 @@
 		return SnapshotMeta{}, fmt.Errorf("old snapshot")
 	}
 	m.Size = int64(b.Len())
+	if f.full {
+		return m, errFull
+	}
 	f.meta, f.data = m, b.Bytes()
 	return m, nil
 }
--- a/internal/consensus/raft/fulldisk_test.go
+++ b/internal/consensus/raft/fulldisk_test.go
@@ -49,3 +49,55 @@
 	cl.crash(l.self.ID)
 	cl.start(l)
 }
+
+// TestFullDisksOneAfterAnother guards against replicas that stop while their disks are full, and against a group that
+// commits nothing for good after the disks of its replicas were full for a while, one after the other.
+func TestFullDisksOneAfterAnother(t *testing.T) {
+	for seed := range uint64(200) {
+		cl := newCluster(seed, 3)
+		cl.run(2 * time.Second)
+		value := uint64(0)
+		// write proposes commands for a while and returns how many were committed.
+		write := func(d time.Duration) (committed int) {
+			for range d / (5 * testStep) {
+				if l := cl.leader(); l != nil {
+					value++
+					l.group.Propose(command(byte(value%8), value), func(r Result) {
+						if r.Err == nil {
+							committed++
+						}
+					})
+				}
+				cl.run(5 * testStep)
+			}
+			return committed
+		}
+		for _, i := range cl.random.Perm(3) {
+			r := cl.replicas[uint64(i+1)]
+			r.slowDisk = cl.random.IntN(2) == 0
+			write(time.Duration(cl.random.IntN(500)) * time.Millisecond)
+			r.log.full, r.snapshots.full = true, true
+			write(time.Duration(500+cl.random.IntN(2500)) * time.Millisecond)
+			qt.Assert(t, r.running, qt.IsTrue, qt.Commentf("seed %d: replica %d stopped", seed, i+1))
+			r.log.full = false
+			if cl.random.IntN(2) == 0 {
+				// Room comes back after a snapshot has failed and before the log is written.
+				write(30 * testStep)
+			}
+			r.snapshots.full, r.slowDisk = false, false
+			write(time.Duration(cl.random.IntN(1000)) * time.Millisecond)
+		}
+		cl.run(2 * time.Second)
+		qt.Assert(t, write(time.Second) > 0, qt.IsTrue, qt.Commentf("seed %d: nothing is committed long after all disks have room", seed))
+		for id, r := range cl.replicas {
+			cl.crash(id)
+			cl.start(r)
+			cl.run(time.Second)
+		}
+		qt.Assert(t, write(time.Second) > 0, qt.IsTrue, qt.Commentf("seed %d: nothing is committed after restarts", seed))
+		cl.run(time.Second)
+		for id, r := range cl.replicas {
+			qt.Assert(t, r.machine.values, qt.DeepEquals, cl.leader().machine.values, qt.Commentf("seed %d: replica %d", seed, id))
+		}
+	}
+}
--- a/internal/consensus/raft/write.go
+++ b/internal/consensus/raft/write.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,6 +15,8 @@
 	// and other replicas do not campaign. A busy disk can take 0.8 s for a sync; one that
 	// takes longer than 1 s counts as stalled.
 	stalledWriteTimeout = time.Second
+	// fullDiskRetryInterval is the time between attempts of a write for which the disk has no room.
+	fullDiskRetryInterval = 100 * time.Millisecond
 )
 
 // logWrite is a write of the log in progress. The group continues to handle events, so
@@ -23,8 +26,10 @@
 	// messages depend on the write and are sent once it is durable.
 	messages  []Message
 	startedAt time.Time
+	run       func() error
 	done      chan struct{}
-	err       error // valid once done is closed
+	err       error     // valid once done is closed
+	retryAt   time.Time // when the write is attempted again; zero unless the disk was full
 }
 
 func (w *logWrite) finished() bool {
@@ -86,16 +91,43 @@
 	default:
 		return nil
 	}
-	w := &logWrite{hardState: hardState, messages: c.outAfterSync, startedAt: g.Clock.Now(), done: make(chan struct{})}
+	w := &logWrite{hardState: hardState, messages: c.outAfterSync, startedAt: g.Clock.Now(), run: run}
 	c.outAfterSync, c.hardStateChanged, g.compactionPending = nil, false, false
 	c.writingIndex, c.writeStartedAt = c.raftLog.last(), w.startedAt
 	g.pendingWrite = w
+	g.attempt(w)
+	return nil
+}
+
+// attempt makes an attempt of a write.
+func (g *Group) attempt(w *logWrite) {
+	done := make(chan struct{})
+	w.done = done
 	g.Background(func() {
-		w.err = run()
-		close(w.done)
+		w.err = w.run()
+		close(done)
 		g.signal()
 	})
-	return nil
+}
+
+// retryWhenDue attempts a write again for which the disk had no room. Meanwhile it counts as one in progress, so that a
+// full disk is like a slow one: the replica acknowledges nothing, and after stalledWriteTimeout it neither leads nor
+// campaigns.
+func (g *Group) retryWhenDue(w *logWrite) {
+	now := g.Clock.Now()
+	switch {
+	case w.retryAt.IsZero():
+		g.Logger.WithError(w.err).WithField("group", g.ID).Warn("the disk is full, waiting for room")
+		w.retryAt = now.Add(fullDiskRetryInterval)
+	case !now.Before(w.retryAt):
+		w.retryAt = now.Add(fullDiskRetryInterval)
+		g.attempt(w)
+	}
+}
+
+// isDiskFull reports whether a write failed for lack of room, which others may free.
+func isDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
 }
 
 // resetWrite returns a function that replaces the durable log by the one in memory.
@@ -126,6 +158,10 @@
 	if w == nil || !w.finished() {
 		return nil
 	}
+	if isDiskFull(w.err) {
+		g.retryWhenDue(w)
+		return nil
+	}
 	g.pendingWrite = nil
 	if w.err != nil {
 		return errors.Trace(w.err)
@@ -140,11 +176,15 @@
 	return nil
 }
 
-// awaitWrite waits for the write in progress, if any, and completes it.
+// awaitWrite waits for the write in progress, if any, and completes it. It does not wait for room on the disk.
 func (g *Group) awaitWrite() error {
-	if g.pendingWrite == nil {
+	w := g.pendingWrite
+	if w == nil {
 		return nil
 	}
-	<-g.pendingWrite.done
+	<-w.done
+	if isDiskFull(w.err) {
+		return errors.Trace(w.err)
+	}
 	return g.completeWrite()
 }
--- a/internal/storage/disk/log.go
+++ b/internal/storage/disk/log.go
@@ -112,17 +112,19 @@
 	return nil
 }
 
-// Reset implements raft.Log.
+// Reset implements raft.Log. After an error it may be called again.
 func (l *Log) Reset(s raft.Stored) error {
-	if l.file != nil {
-		if err := l.file.Close(); err != nil {
-			return errors.Trace(err)
-		}
+	old := l.file
+	if err := l.create(s); err != nil {
+		return errors.Trace(err)
+	}
+	if old == nil {
+		return nil
 	}
-	return l.create(s)
+	return errors.Trace(old.Close())
 }
 
-// create replaces the file by one that holds only s, and opens it.
+// create replaces the file by one that holds only s, and opens it. After an error the earlier file may be in use still.
 func (l *Log) create(s raft.Stored) error {
 	payload, err := wire.Marshal(&record{HardState: s.HardState, Base: &s.Base, Entries: s.Entries})
 	if err != nil {
@@ -132,9 +134,12 @@
 	if err := writeFile(l.path(), b); err != nil {
 		return errors.Trace(err)
 	}
-	l.size = int64(len(b))
-	l.file, err = os.OpenFile(l.path(), os.O_RDWR, 0)
-	return errors.Trace(err)
+	f, err := os.OpenFile(l.path(), os.O_RDWR, 0)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l.file, l.size = f, int64(len(b))
+	return nil
 }
 
 // Close closes the file.
