--- a/internal/consensus/raft/storage.go
+++ b/internal/consensus/raft/storage.go
@@ -1,6 +1,8 @@
 package raft
 
 import (
+	"syscall"
+
 	"github.com/juju/errors"
 
 	"rhubarbgate.example/rhubarbgate"
@@ -10,6 +12,11 @@
 // that is incomplete at the end of the log is not damage: it was never acknowledged.
 const ErrCorrupt = errors.ConstError("storage is corrupt")
 
+// IsDiskFull reports whether a write failed for lack of room, which may be there again later.
+func IsDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // HardState is the term and the vote in it. It must be durable before any message
 // that depends on it is sent.
 type HardState struct {
--- a/internal/consensus/raft/write.go
+++ b/internal/consensus/raft/write.go
@@ -1,7 +1,6 @@
 package raft
 
 import (
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -125,11 +124,6 @@
 	}
 }
 
-// isDiskFull reports whether a write failed for lack of room, which others may free.
-func isDiskFull(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
-}
-
 // resetWrite returns a function that replaces the durable log by the one in memory.
 func (g *Group) resetWrite(h HardState) func() error {
 	s := Stored{HardState: h, Base: g.core.raftLog.base, Entries: g.core.raftLog.entries}
@@ -158,7 +152,7 @@
 	if w == nil || !w.finished() {
 		return nil
 	}
-	if isDiskFull(w.err) {
+	if IsDiskFull(w.err) {
 		g.retryWhenDue(w)
 		return nil
 	}
@@ -183,7 +177,7 @@
 		return nil
 	}
 	<-w.done
-	if isDiskFull(w.err) {
+	if IsDiskFull(w.err) {
 		return errors.Trace(w.err)
 	}
 	return g.completeWrite()
--- a/internal/storage/disk/fulldisk_test.go
+++ b/internal/storage/disk/fulldisk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -52,3 +53,31 @@
 	qt.Assert(t, s.HardState.Term, qt.Equals, uint64(3))
 	qt.Assert(t, s.Entries, qt.DeepEquals, []raft.Entry{entry(1, 1), entry(2, 2), entry(3, 3)})
 }
+
+// TestSpillOnAFullDisk guards against a store host that panics as it applies a command, because the payload has no room on
+// the disk, and against one that keeps payloads in memory without a bound.
+func TestSpillOnAFullDisk(t *testing.T) {
+	s := &Spill{Dir: t.TempDir()}
+	read := func(r Ref) string {
+		b, err := r.Read()
+		qt.Assert(t, err, qt.IsNil)
+		return string(b)
+	}
+	before, err := s.Append([][]byte{[]byte("before")})
+	qt.Assert(t, err, qt.IsNil)
+	file := s.file
+	s.file = fullDevice(t)
+	during, err := s.Append([][]byte{[]byte("one"), nil, []byte("two")})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = s.Append([][]byte{make([]byte, maxHeldBytes)})
+	qt.Assert(t, raft.IsDiskFull(err), qt.IsTrue, qt.Commentf("%v", err))
+	s.file = file
+	after, err := s.Append([][]byte{[]byte("after")})
+	qt.Assert(t, err, qt.IsNil)
+	var got []string
+	for _, r := range slices.Concat(before, during, after) {
+		got = append(got, read(r))
+	}
+	qt.Assert(t, got, qt.DeepEquals, []string{"before", "one", "", "two", "after"})
+	qt.Assert(t, s.held, qt.Equals, 0)
+}
