--- a/internal/consensus/raft/fulldisk_test.go
+++ b/internal/consensus/raft/fulldisk_test.go
@@ -17,10 +17,12 @@
 // unsavedSnapshots is a SnapshotStore on whose disk the content of a snapshot has room, and what names it has none.
 type unsavedSnapshots struct {
 	*fakeSnapshots
-	full bool
+	full     bool
+	attempts int
 }
 
 func (u *unsavedSnapshots) Save(m SnapshotMeta, w rhubarbgate.SnapshotWriter) (SnapshotMeta, error) {
+	u.attempts++
 	if u.full {
 		m.Size = 1
 		return m, errFull
@@ -37,7 +39,7 @@
 	l := cl.leader()
 	behind := cl.replicas[l.self.ID%3+1]
 	cl.crash(behind.self.ID)
-	l.group.Snapshots = &unsavedSnapshots{l.snapshots, true}
+	l.group.Snapshots = &unsavedSnapshots{fakeSnapshots: l.snapshots, full: true}
 	for i := range 100 {
 		l.group.Propose(command(0, uint64(i)), func(Result) {})
 		cl.run(testStep)
@@ -50,6 +52,27 @@
 	cl.start(l)
 }
 
+// TestSnapshotsOnAFullDisk guards against a replica that writes its whole state over and over while the disk has no room
+// for a snapshot, and against one that takes none once there is room.
+func TestSnapshotsOnAFullDisk(t *testing.T) {
+	cl := newCluster(1, 3)
+	cl.run(2 * time.Second)
+	l := cl.leader()
+	s := &unsavedSnapshots{fakeSnapshots: l.snapshots, full: true}
+	l.group.Snapshots = s
+	write := func() {
+		for i := range 100 {
+			l.group.Propose(command(0, uint64(i)), func(Result) {})
+			cl.run(5 * testStep)
+		}
+	}
+	write()
+	qt.Assert(t, s.attempts > 0 && s.attempts <= 6, qt.IsTrue, qt.Commentf("%d attempts in 5 s", s.attempts))
+	s.full = false
+	write()
+	qt.Assert(t, l.group.Status().Snapshot > 0, qt.IsTrue)
+}
+
 // TestFullDisksOneAfterAnother guards against replicas that stop while their disks are full, and against a group that
 // commits nothing for good after the disks of its replicas were full for a while, one after the other.
 func TestFullDisksOneAfterAnother(t *testing.T) {
--- a/internal/consensus/raft/group.go
+++ b/internal/consensus/raft/group.go
@@ -49,6 +49,7 @@
 	appliedIndex      uint64
 	announcedCommit   uint64 // newest commit index sent to the peers at once
 	snapshotting      bool
+	nextSnapshotAt    time.Time           // set when a snapshot could not be saved
 	compactionPending bool                // the durable log still holds entries that a snapshot covers
 	pendingWrite      *logWrite           // nil if no write is in progress
 	proposals         map[uint64]proposal // by index
--- a/internal/consensus/raft/poll.go
+++ b/internal/consensus/raft/poll.go
@@ -6,6 +6,10 @@
 	"github.com/juju/errors"
 )
 
+// snapshotRetryInterval is the time from a snapshot that could not be saved to the next attempt, which
+// writes the whole state again.
+const snapshotRetryInterval = time.Second
+
 // Poll handles the events in the inbox: it runs the protocol, starts writes of the log,
 // sends messages and applies committed entries. It returns an error if the storage
 // failed; the group is then unusable.
@@ -223,7 +227,7 @@
 // SnapshotBytes.
 func (g *Group) maybeSnapshot() {
 	c := g.core
-	if g.snapshotting || c.installedSnapshot != nil || c.raftLog.bytes < g.SnapshotBytes || g.appliedIndex <= c.raftLog.base.Index {
+	if g.snapshotting || g.Clock.Now().Before(g.nextSnapshotAt) || c.installedSnapshot != nil || c.raftLog.bytes < g.SnapshotBytes || g.appliedIndex <= c.raftLog.base.Index {
 		return
 	}
 	g.snapshotting = true
@@ -245,6 +249,9 @@
 func (g *Group) compact(m SnapshotMeta) {
 	g.snapshotting = false
 	c := g.core
+	if m.Size == 0 {
+		g.nextSnapshotAt = g.Clock.Now().Add(snapshotRetryInterval)
+	}
 	if m.Size == 0 || m.Index <= c.raftLog.base.Index {
 		return
 	}
