--- a/internal/storage/disk/fulldisk_test.go
+++ b/internal/storage/disk/fulldisk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"slices"
 	"syscall"
 	"testing"
@@ -81,3 +82,30 @@
 	qt.Assert(t, got, qt.DeepEquals, []string{"before", "one", "", "two", "after"})
 	qt.Assert(t, s.held, qt.Equals, 0)
 }
+
+// TestSnapshotThatIsNotCompleted guards against snapshots that count as saved although nothing names them, and against their
+// files, which would fill the disk for good.
+func TestSnapshotThatIsNotCompleted(t *testing.T) {
+	s := &Snapshots{Dir: t.TempDir()}
+	saved, err := s.Save(raft.SnapshotMeta{Index: 3, Term: 1}, snapshotContent("three"))
+	qt.Assert(t, err, qt.IsNil)
+	// A folder in the place of the temporary file makes the meta file's replacement fail.
+	blocker := filepath.Join(s.Dir, metaFile+".tmp")
+	qt.Assert(t, os.Mkdir(blocker, 0o700), qt.IsNil)
+	failed, err := s.Save(raft.SnapshotMeta{Index: 9, Term: 2}, snapshotContent("nine"))
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, failed, qt.DeepEquals, raft.SnapshotMeta{})
+	qt.Assert(t, os.Remove(blocker), qt.IsNil)
+	for _, name := range []string{savingFile, partialFile} {
+		qt.Assert(t, os.WriteFile(filepath.Join(s.Dir, name), []byte("part"), 0o600), qt.IsNil)
+	}
+
+	reopened := &Snapshots{Dir: s.Dir}
+	qt.Assert(t, reopened.Load(), qt.IsNil)
+	latest, ok := reopened.Latest()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, latest, qt.DeepEquals, saved)
+	files, err := filepath.Glob(filepath.Join(s.Dir, "*"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.ContentEquals, []string{filepath.Join(s.Dir, metaFile), filepath.Join(s.Dir, snapshotName(3))})
+}
--- a/internal/storage/disk/snapshot.go
+++ b/internal/storage/disk/snapshot.go
@@ -49,8 +49,34 @@
 }
 
 // Load reads the meta file and verifies the content of the latest snapshot. A
-// folder without a meta file has no snapshot.
+// folder without a meta file has no snapshot. It removes the files of snapshots that
+// were not completed, which would take up room for good.
 func (s *Snapshots) Load() error {
+	if err := s.loadLatest(); err != nil {
+		return errors.Trace(err)
+	}
+	return s.removeIncomplete()
+}
+
+// removeIncomplete removes all content files but the latest one.
+func (s *Snapshots) removeIncomplete() error {
+	files, err := filepath.Glob(filepath.Join(s.Dir, snapshotFile+".*"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, path := range files {
+		if name := filepath.Base(path); name == s.latest.File || name == metaFile {
+			continue
+		}
+		if err := os.Remove(path); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// loadLatest reads the meta file and verifies the content of the snapshot that it names.
+func (s *Snapshots) loadLatest() error {
 	b, err := os.ReadFile(filepath.Join(s.Dir, metaFile))
 	if os.IsNotExist(err) {
 		return nil
