soak: versions of the configuration have to be in force in time

The soak read the configuration back at the end and sent no request that told which version an entry serves. Versions now come every second on average beside those of the injectors, each adds a route, and the entries are asked for the newest route that has to be there: 2 s after its acknowledgement, at an entry that was, like the control hosts, not disturbed for 3 s.

--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -60,7 +60,9 @@
 	jobs        []*job
 	revokedKeys map[string]time.Time // when the withdrawal of each key was acknowledged
 	version     uint64               // highest acknowledged configuration version
-	violations  []string
+	// acknowledged are the configuration versions in the order of their acknowledgements.
+	acknowledged []acknowledgement
+	violations   []string
 }
 
 // addViolation records a violated guarantee.
@@ -139,14 +141,14 @@
 	}
 }
 
-// verifyRequest checks one request. Only the routes safe and resume allow a request to
+// verifyRequest checks one request. Only repeatable routes allow a request to
 // run more than once, or to run although the response says that it did not.
 func (h *history) verifyRequest(req *sentRequest, runs []platformtest.Run) {
 	name := fmt.Sprintf("request %s of route %s", req.id, req.route)
 	if (req.route == "unsafe" || req.route == "stream") && len(runs) > 1 {
 		h.addViolation("%s ran %d times", name, len(runs))
 	}
-	if req.response.PromisesNotRun() && len(runs) > 0 && req.route != "safe" && req.route != "resume" {
+	if req.response.PromisesNotRun() && len(runs) > 0 && !isRepeatable(req.route) {
 		h.addViolation("%s was answered %d and ran at target %s", name, req.response.Status, runs[0].Instance)
 	}
 	for _, r := range runs {
@@ -342,7 +344,7 @@
 
 // responseBody returns the complete response body of a request that continues after the given event.
 func responseBody(route, id string, after int) string {
-	if route == "safe" || route == "unsafe" {
+	if isPlain(route) {
 		return "answer to " + id
 	}
 	var b strings.Builder
--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -18,7 +18,6 @@
 // injectFaults runs the injectors for the duration of the run.
 func (s *Soak) injectFaults(ctx context.Context) {
 	until := s.Clock.Now().Add(s.Duration)
-	s.version.Store(1)
 	var injectors conc.WaitGroup
 	for i := range s.Injectors {
 		random := rand.New(rand.NewPCG(s.Seed, uint64(2000+i)))
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -106,9 +106,11 @@
 	sides        []*process
 	// keys holds the keys of each workspace in the current configuration.
 	keys map[string][]string
-	// configuring serializes changes of the configuration, whose highest version is version.
+	// configuring serializes changes of the configuration, whose highest version is version. markers are the routes
+	// that its versions added.
 	configuring sync.Mutex
 	version     atomic.Uint64
+	markers     []string
 	// mu guards the fields below.
 	mu sync.Mutex
 	// gracefullyStopping holds the entries that are stopping after SIGTERM.
@@ -187,6 +189,9 @@
 	if sendsBodies {
 		tasks.Go(func() { s.repeatCrashingRequest(loadCtx, repeating) })
 	}
+	raising, probing := rand.New(rand.NewPCG(s.Seed, 92)), rand.New(rand.NewPCG(s.Seed, 93))
+	tasks.Go(func() { s.raiseVersions(loadCtx, raising) })
+	tasks.Go(func() { s.probeVersions(loadCtx, probing) })
 	upgrading := rand.New(rand.NewPCG(s.Seed, 95))
 	tasks.Go(func() { s.upgradeTargets(loadCtx, upgrading) })
 	oddities := rand.New(rand.NewPCG(s.Seed, 97))
@@ -226,7 +231,7 @@
 // job is accepted.
 func (s *Soak) awaitServing(ctx context.Context) error {
 	until := s.Clock.Now().Add(convergenceTimeout)
-	if !s.configure(ctx, 1, until) {
+	if !s.configure(ctx, s.version.Add(1), until) {
 		return errors.Errorf("seed %d: no configuration was accepted within %v", s.Seed, convergenceTimeout)
 	}
 	for n := 0; s.Clock.Now().Before(until); n++ {
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -98,7 +98,7 @@
 	random := rand.New(rand.NewPCG(s.Seed, uint64(1000+len(s.targets))))
 	t := &platformtest.Target{
 		Instance: fmt.Sprintf("i-%d", len(s.targets)), Service: platformtest.TargetService, Zone: availabilityZone(i), Slots: 8,
-		Events: streamEvents, Pace: eventInterval, PlainPrefixes: []string{"/safe/", "/unsafe/"},
+		Events: streamEvents, Pace: eventInterval, PlainPrefixes: []string{"/safe/", "/unsafe/", "/" + markerPrefix},
 		CrashPart: crashPart, CrashItem: crashItem, CrashBodies: []string{crashBody}, Version: versionOf(len(s.targets)), CrashDelay: crashDelay, Downtime: minDowntime + time.Duration(random.Int64N(int64(randomDowntime))),
 	}
 	behaviour := rand.New(rand.NewPCG(s.Seed, uint64(3000+len(s.targets))))
@@ -158,7 +158,8 @@
 // configuration is refused.
 func (s *Soak) configure(ctx context.Context, version uint64, until time.Time) bool {
 	// The route of open jobs changes its name with each version.
-	document := platformtest.DocumentWithBatch(fmt.Sprintf("batch-%d", version), version, s.keys)
+	s.markers = append(s.markers, marker(version))
+	document := platformtest.DocumentWithBatch(fmt.Sprintf("batch-%d", version), version, s.keys, s.markers...)
 	for n := 0; s.Clock.Now().Before(until) && ctx.Err() == nil; n++ {
 		callCtx, cancel := deadline.WithTimeout(ctx, s.Clock, time.Second)
 		r := s.client.Put(callCtx, netip.AddrPortFrom(s.controlHosts[n%controlCount].address, operatorPort), document)
@@ -166,6 +167,7 @@
 		if r.Err == nil && r.Status == 200 {
 			s.history.mu.Lock()
 			s.history.version = max(s.history.version, version)
+			s.history.acknowledged = append(s.history.acknowledged, acknowledgement{version, s.Clock.Now()})
 			s.history.mu.Unlock()
 			return true
 		}
