configuration: hold polls of daemons whose list of targets is newer than the parent's

Each control host reads the platform's list by itself. A daemon that changed its parent and held a newer list got replies at once, with a list that it ignored, and polled again without a pause until the parent's list was as new or had the same content: for up to the time between two reads, and as long as the host had no list. Found by reading, for the search for parents makes daemons change them more often.

Polls now say how old the list is, and a parent replies at once only with a newer one. Polls of earlier builds are answered as before. TestPollsAreHeldForNewerListsOnly failed before in the cases 'older list' and 'no list'.

--- a/internal/controller/configuration/follow.go
+++ b/internal/controller/configuration/follow.go
@@ -118,7 +118,7 @@
 // poll polls one parent, which may delay its reply for the given time, and reports whether it replied with a
 // current configuration.
 func (w *Watcher) poll(ctx context.Context, parent netip.AddrPort, hold time.Duration) bool {
-	list, _ := w.Targets()
+	list, requestedAt := w.Targets()
 	evacuationVersion := w.Evacuation().Version
 	p := &control.Poll{
 		Version: w.pollVersion(), Wait: hold, Targets: list.Digest,
@@ -129,6 +129,9 @@
 		p.Wait = 0
 	}
 	sent := w.Clock.Now()
+	if list.Digest != 0 {
+		p.TargetsAge = sent.Sub(requestedAt)
+	}
 	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	r, err := w.Transport.Poll(pollCtx, parent, p)
--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -60,10 +60,9 @@
 // list, it first waits for a change, as long as the poll allows.
 func replyToPoll(ctx context.Context, s Source, clock clockwork.Clock, p *control.Poll) *control.PollReply {
 	changed, receivedAt := s.Changed(), clock.Now()
-	list, _ := s.Targets()
-	newer := s.Quarantine(receivedAt).Version.NewerThan(p.Quarantine) || s.TargetLimits().Version.NewerThan(p.Limits) ||
+	newer := hasNewerTargets(s, receivedAt, p) || s.Quarantine(receivedAt).Version.NewerThan(p.Quarantine) || s.TargetLimits().Version.NewerThan(p.Limits) ||
 		p.Evacuation != nil && s.Evacuation().Version > *p.Evacuation
-	if s.Current().Version <= p.Version && list.Digest == p.Targets && !newer && p.Wait > 0 {
+	if s.Current().Version <= p.Version && !newer && p.Wait > 0 {
 		t := clock.NewTimer(min(p.Wait, maxPollHold))
 		defer t.Stop()
 		select {
@@ -100,6 +99,13 @@
 	return r
 }
 
+// hasNewerTargets reports whether the poller lacks the list of targets. One that was requested later than the present
+// list may have come from another parent, and a reply with an older one would be ignored and asked for again at once.
+func hasNewerTargets(s Source, now time.Time, p *control.Poll) bool {
+	list, requestedAt := s.Targets()
+	return list.Digest != p.Targets && (p.TargetsAge == 0 || now.Sub(requestedAt) < p.TargetsAge)
+}
+
 // TargetListReply returns the list of targets, without its instances if the process that
 // asks holds the list with this digest. It returns nil if no list is known.
 func TargetListReply(s Source, now time.Time, digest uint64) *control.TargetList {
--- a/internal/controller/configuration/watcher_test.go
+++ b/internal/controller/configuration/watcher_test.go
@@ -166,3 +166,51 @@
 	qt.Assert(t, child.ConfirmedAt().Equal(confirmedAt), qt.IsTrue, qt.Commentf("%v", clock.Since(child.ConfirmedAt())))
 	qt.Assert(t, listedAt.Equal(confirmedAt), qt.IsTrue, qt.Commentf("%v", clock.Since(listedAt)))
 }
+
+// TestPollsAreHeldForNewerListsOnly guards against a daemon that polls without a pause because its parent holds another list of
+// targets, which is older than its own, or none yet.
+func TestPollsAreHeldForNewerListsOnly(t *testing.T) {
+	const digest, other = 7, 8
+	tests := []struct {
+		name       string
+		targets    uint64        // digest of the parent's list; 0 if it has none
+		age        time.Duration // of the parent's list
+		targetsAge time.Duration // of the poller's list, as the poll says
+		held       bool
+	}{
+		{"same list", digest, time.Second, 2 * time.Second, true},
+		{"newer list", other, time.Second, 2 * time.Second, false},
+		{"older list", other, 2 * time.Second, time.Second, true},
+		{"no list", 0, 0, time.Second, true},
+		{"earlier build", other, 2 * time.Second, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			parent := newWatcher(clock)
+			versions, _ := history(1)
+			section := versions[1].Section()
+			r := &control.PollReply{Version: 1, Sum: versions[1].Sum, Section: &section, Groups: 1}
+			if test.targets != 0 {
+				r.Targets = &control.TargetList{Digest: test.targets, Age: test.age}
+			}
+			parent.ApplyReply(r, clock.Now())
+			replied := make(chan struct{})
+			go func() {
+				defer close(replied)
+				replyToPoll(t.Context(), parent, clock, &control.Poll{Version: 1, Wait: time.Second, Targets: digest, TargetsAge: test.targetsAge})
+			}()
+			if test.held {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				qt.Assert(t, clock.BlockUntilContext(ctx, 1), qt.IsNil, qt.Commentf("the poll is not held"))
+				clock.Advance(time.Second)
+			}
+			select {
+			case <-replied:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the poll is held although its time is over")
+			}
+		})
+	}
+}
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -78,6 +78,8 @@
 	Wait    time.Duration
 	// Targets is the digest of the list of targets that the polling process holds.
 	Targets uint64 `msgpack:",omitempty"`
+	// TargetsAge is how long ago that list was requested from the platform; 0 in polls of earlier builds.
+	TargetsAge time.Duration `msgpack:",omitempty"`
 	// Quarantine is the version of the quarantine that the polling process holds.
 	Quarantine LeaderVersion
 	// Limits is the version of the target limits that the polling process holds.
