configuration: longer pauses between polls once all parents were asked

With all control hosts silent, each daemon polled one of them every 0.2 s for as long as that lasted, ten times as often as when parents were asked one after the other. The pause now doubles each time that all were asked, up to 0.8 s. TestVersionsAreAppliedInTime has two more cases, in which all parents are silent for 4 s and versions have to be in force 3 s after that; they pass with 0.2 s as well.

--- a/internal/controller/configuration/follow.go
+++ b/internal/controller/configuration/follow.go
@@ -21,8 +21,10 @@
 	pollOverdue = pollHold + 300*time.Millisecond
 	// pollTimeout bounds a poll, pollHold included.
 	pollTimeout = pollHold + 800*time.Millisecond
-	// searchInterval is the time between polls of further parents while none replies.
-	searchInterval = 200 * time.Millisecond
+	// searchInterval is the time between polls of further parents while none replies. It doubles up to
+	// maxSearchInterval each time that all were asked.
+	searchInterval    = 200 * time.Millisecond
+	maxSearchInterval = 800 * time.Millisecond
 	// pollBackoffBase is doubled for each failed poll in a row, up to maxPollBackoff.
 	pollBackoffBase = 100 * time.Millisecond
 	maxPollBackoff  = 300 * time.Millisecond
@@ -74,7 +76,7 @@
 	timer := w.Clock.NewTimer(pollOverdue)
 	defer timer.Stop()
 	replied := false // whether the parent that was polled last has, or could not be reached
-	for failures := 0; ; {
+	for failures, asked := 0, 0; ; {
 		select {
 		case <-ctx.Done():
 			return parent
@@ -97,12 +99,15 @@
 				w.order.Failed(parent)
 				w.Transport.Forget(parent)
 			}
-			next := w.order.Next(w.parents())
+			parents := w.parents()
+			next := w.order.Next(parents)
 			w.Logger.WithFields(log.Fields{"parent": next.String(), "previous": parent.String(), "waited": now.Sub(startedAt).String(), "failures": failures}).Info("polling another parent")
 			parent, replied = next, false
 			start(parent, 0)
-			nextAt = now.Add(searchInterval)
-			timer.Reset(searchInterval)
+			interval := min(searchInterval<<min(asked/len(parents), 10), maxSearchInterval)
+			asked++
+			nextAt = now.Add(interval)
+			timer.Reset(interval)
 		}
 	}
 }
--- a/internal/controller/configuration/parents_test.go
+++ b/internal/controller/configuration/parents_test.go
@@ -133,28 +133,31 @@
 	tests := []struct {
 		name       string
 		conditions []condition
+		lasts      time.Duration // how long the parents are in their conditions; 0 means to the end
 	}{
-		{"parent cut off", []condition{cutOff, sound, sound}},
-		{"parent silent", []condition{silent, sound, sound}},
-		{"parent refuses", []condition{refusing, sound, sound}},
-		{"parent cut off, others were replaced", []condition{cutOff, replaced, replaced, sound, sound}},
-		{"parent silent, others were replaced", []condition{silent, replaced, replaced, sound, sound}},
-		{"most parents silent", []condition{silent, silent, silent, silent, sound}},
-		{"open connections silent", []condition{stuck, stuck, stuck}},
-		{"open connections silent, others were replaced", []condition{stuck, replaced, replaced, stuck, stuck}},
-		{"most parents cut off", []condition{cutOff, cutOff, cutOff, sound}},
+		{"parent cut off", []condition{cutOff, sound, sound}, 0},
+		{"parent silent", []condition{silent, sound, sound}, 0},
+		{"parent refuses", []condition{refusing, sound, sound}, 0},
+		{"parent cut off, others were replaced", []condition{cutOff, replaced, replaced, sound, sound}, 0},
+		{"parent silent, others were replaced", []condition{silent, replaced, replaced, sound, sound}, 0},
+		{"most parents silent", []condition{silent, silent, silent, silent, sound}, 0},
+		{"open connections silent", []condition{stuck, stuck, stuck}, 0},
+		{"open connections silent, others were replaced", []condition{stuck, replaced, replaced, stuck, stuck}, 0},
+		{"all silent for a while", []condition{silent, silent, silent}, 4 * time.Second},
+		{"all silent for a while, others were replaced", []condition{silent, replaced, replaced, silent, silent}, 4 * time.Second},
+		{"most parents cut off", []condition{cutOff, cutOff, cutOff, sound}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(60) {
-				synctest.Test(t, func(t *testing.T) { playParents(t, seed, test.conditions) })
+				synctest.Test(t, func(t *testing.T) { playParents(t, seed, test.conditions, test.lasts) })
 			}
 		})
 	}
 }
 
 // playParents disturbs some parents of a daemon while versions are committed, and checks the version that it holds.
-func playParents(t *testing.T, seed uint64, conditions []condition) {
+func playParents(t *testing.T, seed uint64, conditions []condition, lasts time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	clock := clockwork.NewRealClock()
 	f := &testFleet{clock: clock, conditions: conditions, committed: []time.Time{{}}, reopened: make([]atomic.Bool, len(conditions))}
@@ -180,8 +183,10 @@
 	startedAt := clock.Now()
 	disturbedAt := startedAt.Add(2*time.Second + time.Duration(random.Int64N(int64(2*time.Second))))
 	nextCommit, nextBeat := startedAt, startedAt
-	for now := startedAt; now.Before(disturbedAt.Add(2 * touchTime)); now = clock.Now() {
-		f.disturbed.Store(!now.Before(disturbedAt))
+	// The time in touch counts from the newest disturbance: the end of one that does not last.
+	calmAt := disturbedAt.Add(lasts)
+	for now := startedAt; now.Before(calmAt.Add(2 * touchTime)); now = clock.Now() {
+		f.disturbed.Store(!now.Before(disturbedAt) && (lasts == 0 || now.Before(calmAt)))
 		if !now.Before(nextCommit) && len(f.committed) < len(f.versions) {
 			f.committed = append(f.committed, now)
 			nextCommit = now.Add(time.Duration(50+random.IntN(350)) * time.Millisecond)
@@ -190,9 +195,9 @@
 			f.confirm()
 			nextBeat = now.Add(testHeartbeat)
 		}
-		if want := f.newest(now.Add(-applyTime)); now.Sub(disturbedAt) >= touchTime && w.Current().Version < want {
+		if want := f.newest(now.Add(-applyTime)); now.Sub(calmAt) >= touchTime && w.Current().Version < want {
 			qt.Assert(t, w.Current().Version >= want, qt.IsTrue, qt.Commentf("seed %d: %v after the disturbance version %d is in force, and version %d was acknowledged %v ago",
-				seed, now.Sub(disturbedAt), w.Current().Version, want, now.Sub(f.committed[want])))
+				seed, now.Sub(calmAt), w.Current().Version, want, now.Sub(f.committed[want])))
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
