--- a/internal/consensus/raft/cluster_test.go
+++ b/internal/consensus/raft/cluster_test.go
@@ -270,7 +270,10 @@
 		Background: r.write,
 	}
 	if err := r.group.Open(); err != nil {
-		panic(err)
+		if !IsDiskFull(err) {
+			panic(err)
+		}
+		r.running = false
 	}
 }
 
@@ -396,7 +399,7 @@
 		for len(r.pendingWrites) > 0 {
 			r.completeWrite()
 		}
-		r.log.failNextAppend = false
+		r.log.failNextAppend, r.log.full, r.snapshots.full = false, false, false
 		if r.running {
 			c.poll(id, r) // crashes the replica if a write has failed
 		}
--- a/internal/consensus/raft/raft_test.go
+++ b/internal/consensus/raft/raft_test.go
@@ -82,7 +82,7 @@
 
 // TestRandomFaults checks that reads and writes are linearizable, that no two replicas
 // hold a lease at once, and that all replicas converge after random crashes, partitions,
-// message loss, pauses and slow disks.
+// message loss, pauses, slow and full disks.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
@@ -113,7 +113,7 @@
 	id := uint64(rapid.IntRange(1, voters).Draw(t, "victim"))
 	other := uint64(rapid.IntRange(1, voters).Draw(t, "other"))
 	r := cl.replicas[id]
-	switch rapid.IntRange(0, 11).Draw(t, "fault") {
+	switch rapid.IntRange(0, 12).Draw(t, "fault") {
 	case 0, 1:
 		cl.crash(id)
 	case 2, 3:
@@ -136,6 +136,8 @@
 		r.slowPolls = !r.slowPolls
 	case 11:
 		r.slowDisk = !r.slowDisk
+	case 12:
+		r.log.full, r.snapshots.full = !r.log.full, !r.log.full
 	case 9:
 		r.log.failNextAppend = r.running
 		if r.running {
