--- a/internal/http/ingress/ingress_test.go
+++ b/internal/http/ingress/ingress_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -266,18 +267,28 @@
 		{"unsafe with the answer of another", "unsafe", platformtest.OtherRequestID, 0, false, 1},
 		{"safe whose answer is lost", "safe", platformtest.DropConnection, 0, true, 2},
 		{"safe with the answer of another", "safe", platformtest.OtherRequestID, 0, true, 2},
+		{"unsafe with a status that does not exist", "unsafe", platformtest.NoStatus, 0, false, 1},
+		{"safe with a status that does not exist", "safe", platformtest.NoStatus, 0, true, 2},
 		{"safe that fails once", "safe", platformtest.Fail, 0, true, 2},
 		{"stream cut in the middle", "stream", platformtest.CutStream, 8, false, 1},
 		{"stream lost before its first event", "stream", platformtest.DropConnection, 8, false, 1},
+		{"stream with a status that does not exist", "stream", platformtest.NoStatus, 8, false, 1},
+		{"resumable stream with a status that does not exist", "resume", platformtest.NoStatus, 8, true, 2},
 		{"resumable stream cut in the middle", "resume", platformtest.CutStream, 8, true, 2},
 		{"resumable stream lost before its first event", "resume", platformtest.DropConnection, 8, true, 2},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			faults := 0
 			for i := range 6 {
 				bad := &platformtest.Target{Events: test.events, Fault: onFirstAttempt(test.fault)}
 				good := &platformtest.Target{Events: test.events}
-				e := newEntry(t, bad, good)
+				targets := []*platformtest.Target{bad, good}
+				if i%2 == 1 {
+					// The entry's random choices are the same each time.
+					slices.Reverse(targets)
+				}
+				e := newEntry(t, targets...)
 				id := fmt.Sprintf("r%d", i)
 				status, body, err := e.send(context.Background(), test.route, id, secret)
 				want := "answer to " + id
@@ -285,6 +296,9 @@
 					want = streamText(id, test.events)
 				}
 				faulted := len(bad.Runs()) > 0 || test.fault == platformtest.Shed
+				if faulted {
+					faults++
+				}
 				if test.complete || !faulted {
 					qt.Check(t, err, qt.IsNil)
 					qt.Check(t, status, qt.Equals, 200)
@@ -294,6 +308,7 @@
 				}
 				qt.Check(t, len(e.runs(id)) <= test.maxRuns, qt.IsTrue, qt.Commentf("%d runs", len(e.runs(id))))
 			}
+			qt.Check(t, faults > 0, qt.IsTrue, qt.Commentf("the target with the fault got no request"))
 		})
 	}
 }
--- a/internal/role/side/stream_test.go
+++ b/internal/role/side/stream_test.go
@@ -89,6 +89,7 @@
 	}{
 		{platformtest.Shed, rhubarbgate.NotRun, rhubarbgate.CodeUnavailable},
 		{platformtest.DropConnection, rhubarbgate.MayHaveRun, rhubarbgate.CodeUpstream},
+		{platformtest.NoStatus, rhubarbgate.MayHaveRun, rhubarbgate.CodeUpstream},
 		{platformtest.OtherRequestID, rhubarbgate.MayHaveRun, rhubarbgate.CodeUpstream},
 		{platformtest.Fail, rhubarbgate.Ran, rhubarbgate.CodeUpstream},
 		{platformtest.Unprocessable, rhubarbgate.Ran, rhubarbgate.CodeInvalid},
