http/target: bound the empty lines before a response

The check of the status line skips empty lines, as the HTTP library does, but without the library's bound of 4 KiB: a target that sends nothing else would have kept a request until its deadline. Found by reading the change; the case with 8 KiB of empty lines in TestStatusThatDoesNotExist failed before. Comments reworded.

--- a/internal/controller/configuration/follow.go
+++ b/internal/controller/configuration/follow.go
@@ -29,7 +29,8 @@
 	pollBackoffBase = 100 * time.Millisecond
 	maxPollBackoff  = 300 * time.Millisecond
 	// maxControlAge and maxRelayAge are the ages of a parent's configuration from which on another
-	// parent is polled. Control hosts hear of a quorum every heartbeat, relays with each poll of theirs.
+	// parent is polled. A quorum confirms that of a control host every heartbeat; that of a relay is
+	// confirmed by each of its own polls.
 	maxControlAge = 500 * time.Millisecond
 	maxRelayAge   = 2 * time.Second
 )
--- a/internal/controller/configuration/parents_test.go
+++ b/internal/controller/configuration/parents_test.go
@@ -76,7 +76,7 @@
 	return sound
 }
 
-// confirm lets the control hosts that the leader reaches hear of the newest version.
+// confirm gives the newest version to the control hosts that the leader reaches.
 func (f *testFleet) confirm() {
 	v := len(f.committed) - 1
 	for i, p := range f.parents {
--- a/internal/controller/configuration/source.go
+++ b/internal/controller/configuration/source.go
@@ -99,8 +99,8 @@
 	return r
 }
 
-// hasNewerTargets reports whether the poller lacks the list of targets. One that was requested later than the present
-// list may have come from another parent, and a reply with an older one would be ignored and asked for again at once.
+// hasNewerTargets reports whether the list of targets is another one than the poller's, and newer. The poller may have
+// got its list from another parent; it would ignore an older one and poll again at once.
 func hasNewerTargets(s Source, now time.Time, p *control.Poll) bool {
 	list, requestedAt := s.Targets()
 	return list.Digest != p.Targets && (p.TargetsAge == 0 || now.Sub(requestedAt) < p.TargetsAge)
--- a/internal/http/target/status.go
+++ b/internal/http/target/status.go
@@ -14,7 +14,10 @@
 // HTTP/1 whose status exists. The HTTP library takes the status 000 for 200, and any first word for the
 // protocol.
 func checkStatusLine(r *bufio.Reader) error {
-	for {
+	for skipped := 0; ; skipped++ {
+		if skipped == maxHeadBytes {
+			return errors.Errorf("the target sends more than %d bytes of empty lines in place of a response", maxHeadBytes)
+		}
 		b, err := r.Peek(1)
 		if err != nil {
 			return errors.Trace(err)
--- a/internal/http/target/status_test.go
+++ b/internal/http/target/status_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,9 +45,10 @@
 		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", 200},
 		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK", 0},
 		{"HTTP/1.1 599 Odd", 599},
+		{strings.Repeat("\r\n", maxHeadBytes) + "HTTP/1.1 200 OK", 0},
 	}
 	for _, test := range tests {
-		t.Run(test.line, func(t *testing.T) {
+		t.Run(strings.TrimLeft(test.line, "\r\n"), func(t *testing.T) {
 			client := &Client{IDHeader: "X-Request-Id", CloseDelimited: true, Address: serveResponses(t, test.line+rest)}
 			resp, err := client.Do(context.Background(), &Request{Method: "GET", Path: "/", ID: "r1", Idempotent: true})
 			if test.status == 0 {
