--- a/internal/storage/disk/fulldisk_test.go
+++ b/internal/storage/disk/fulldisk_test.go
@@ -86,7 +86,9 @@
 // TestSnapshotThatIsNotCompleted guards against snapshots that count as saved although nothing names them, and against their
 // files, which would fill the disk for good.
 func TestSnapshotThatIsNotCompleted(t *testing.T) {
-	s := &Snapshots{Dir: t.TempDir()}
+	// The name of the folder is no pattern.
+	s := &Snapshots{Dir: filepath.Join(t.TempDir(), "[data")}
+	qt.Assert(t, os.Mkdir(s.Dir, 0o700), qt.IsNil)
 	saved, err := s.Save(raft.SnapshotMeta{Index: 3, Term: 1}, snapshotContent("three"))
 	qt.Assert(t, err, qt.IsNil)
 	// A folder in the place of the temporary file makes the meta file's replacement fail.
@@ -105,7 +107,11 @@
 	latest, ok := reopened.Latest()
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, latest, qt.DeepEquals, saved)
-	files, err := filepath.Glob(filepath.Join(s.Dir, "*"))
+	files, err := os.ReadDir(s.Dir)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, files, qt.ContentEquals, []string{filepath.Join(s.Dir, metaFile), filepath.Join(s.Dir, snapshotName(3))})
+	var names []string
+	for _, f := range files {
+		names = append(names, f.Name())
+	}
+	qt.Assert(t, names, qt.ContentEquals, []string{metaFile, snapshotName(3)})
 }
--- a/internal/storage/disk/snapshot.go
+++ b/internal/storage/disk/snapshot.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 
 	"github.com/juju/errors"
@@ -60,15 +61,15 @@
 
 // removeIncomplete removes all content files but the latest one.
 func (s *Snapshots) removeIncomplete() error {
-	files, err := filepath.Glob(filepath.Join(s.Dir, snapshotFile+".*"))
+	files, err := os.ReadDir(s.Dir)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	for _, path := range files {
-		if name := filepath.Base(path); name == s.latest.File || name == metaFile {
+	for _, f := range files {
+		if name := f.Name(); !strings.HasPrefix(name, snapshotFile+".") || name == s.latest.File || name == metaFile {
 			continue
 		}
-		if err := os.Remove(path); err != nil {
+		if err := os.Remove(filepath.Join(s.Dir, f.Name())); err != nil {
 			return errors.Trace(err)
 		}
 	}
