--- a/internal/command/rhubarbgate/room.go
+++ b/internal/command/rhubarbgate/room.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -12,8 +14,8 @@
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
-	"github.com/valyala/fasthttp"
 
+	"rhubarbgate.example/rhubarbgate/internal/http/target"
 	"rhubarbgate.example/rhubarbgate/internal/policy/admission"
 )
 
@@ -65,21 +67,25 @@
 
 // entryRoom reads the counters of the entry at a debug address.
 func entryRoom(a netip.AddrPort) ([]admission.ServiceSnapshot, error) {
-	q, r := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(q)
-	defer fasthttp.ReleaseResponse(r)
-	q.SetRequestURI("http://" + a.String() + "/debug/vars")
-	h := fasthttp.Client{MaxResponseBodySize: maxCounterBytes}
-	if err := h.DoTimeout(q, r, roomTimeout); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
+	defer cancel()
+	entry := &target.Client{Address: a, CloseDelimited: true}
+	r, err := entry.Do(ctx, &target.Request{Method: http.MethodGet, Path: "/debug/vars", Idempotent: true})
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if r.StatusCode() != fasthttp.StatusOK {
-		return nil, errors.Errorf("status %d", r.StatusCode())
+	defer r.Close()
+	if r.Status != http.StatusOK {
+		return nil, errors.Errorf("status %d", r.Status)
+	}
+	body, err := r.ReadAll(maxCounterBytes)
+	if err != nil {
+		return nil, errors.Trace(err)
 	}
 	var vars struct {
 		Entry struct{ Room []admission.ServiceSnapshot }
 	}
-	if err := json.Unmarshal(r.Body(), &vars); err != nil {
+	if err := json.Unmarshal(body, &vars); err != nil {
 		return nil, errors.Annotate(err, "counters")
 	}
 	return vars.Entry.Room, nil
--- a/internal/command/rhubarbgate/room_test.go
+++ b/internal/command/rhubarbgate/room_test.go
@@ -1,8 +1,11 @@
 package rhubarbgate
 
 import (
+	"bufio"
 	"expvar"
+	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -44,3 +47,39 @@
 	c.Assert(code, qt.Equals, exitUsage)
 	c.Assert(errs, qt.Contains, "--debug")
 }
+
+// TestRoomOfBrokenResponses guards against figures that are taken from a broken response.
+func TestRoomOfBrokenResponses(t *testing.T) {
+	const body = `{"Entry":{"Room":[{"Service":"chat"}]}}`
+	tests := []struct {
+		name, head string
+		valid      bool
+	}{
+		{"sound", "HTTP/1.1 200 OK\r\n", true},
+		{"status 000", "HTTP/1.1 000 OK\r\n", false},
+		{"blank inside a name", "HTTP/1.1 200 OK\r\nX Odd: v\r\n", false},
+		{"blank behind a name", "HTTP/1.1 200 OK\r\nX-Odd : v\r\n", false},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: v\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", test.head, len(body), body)
+				}
+			}()
+			room, err := entryRoom(l.Addr().(*net.TCPAddr).AddrPort())
+			c.Assert(err == nil, qt.Equals, test.valid, qt.Commentf("%v", err))
+			c.Assert(len(room) == 1, qt.Equals, test.valid)
+		})
+	}
+}
--- a/internal/http/target/client.go
+++ b/internal/http/target/client.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"expvar"
 	"io"
 	"net"
@@ -84,6 +85,8 @@
 	Address netip.AddrPort
 	// Dialer opens connections; nil means one with a timeout of a second.
 	Dialer *net.Dialer
+	// TLS, if set, encrypts the connections, each of which then carries one request.
+	TLS *tls.Config
 	// NonIdempotentMaxIdle is how long a connection may have been idle and still carry a
 	// request that is not idempotent; 0 means that each such request opens a connection.
 	NonIdempotentMaxIdle time.Duration
@@ -225,7 +228,15 @@
 		}
 		return nil, errors.Trace(err)
 	}
-	return newConn(raw), nil
+	if c.TLS == nil {
+		return newConn(raw), nil
+	}
+	encrypted := tls.Client(raw, c.TLS)
+	if err := encrypted.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, errors.Trace(err)
+	}
+	return newConn(encrypted), nil
 }
 
 func newConn(raw net.Conn) *conn {
@@ -435,6 +446,18 @@
 	return n, err
 }
 
+// ReadAll reads the rest of the body. It fails if that has more than maxBytes.
+func (r *Response) ReadAll(maxBytes int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if int64(len(b)) > maxBytes {
+		return nil, errors.Errorf("the response has more than %d bytes", maxBytes)
+	}
+	return b, nil
+}
+
 // Unframed reports whether the body has neither a length nor chunks and ends with its connection,
 // so that its end does not show whether it is complete.
 func (r *Response) Unframed() bool { return r.unframed }
