http/operator: a call that times out says so

Cause: since a command whose control host accepts the connection and does not respond ended after 30 s with "use of closed network connection", the effect of the deadline on the connection. It now says "no complete response within 30s" (tried by hand against a listener that never responds).

--- a/internal/http/operator/client.go
+++ b/internal/http/operator/client.go
@@ -59,6 +59,9 @@
 		q.Headers = append(q.Headers, target.Header{Name: "Content-Type", Value: "application/json"})
 	}
 	status, body, err := c.send(ctx, q, path)
+	if err != nil && ctx.Err() != nil {
+		err = errors.Errorf("no complete response within %v", requestTimeout)
+	}
 	if err != nil {
 		return errors.Annotatef(err, "%s %s", method, path)
 	}
