--- a/internal/http/target/head.go
+++ b/internal/http/target/head.go
@@ -47,7 +47,7 @@
 		}
 		switch _, err := r.Peek(len(b) + 1); {
 		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, errors.Errorf("the head of the target's response has more than %d bytes", len(b))
+			return nil, errors.Errorf("the head has more than %d bytes", len(b))
 		case err != nil:
 			return nil, errors.Trace(err)
 		}
@@ -69,7 +69,7 @@
 		valid = IsToken(string(name))
 	}
 	if !valid {
-		return errors.Errorf("the target's response has a malformed header with the name %.64q", name)
+		return errors.Errorf("a header has the malformed name %.64q", name)
 	}
 	return nil
 }
