review: case 6, a tenant beyond its rate cannot end its batch job

Cause: the calls that end and read batch jobs take a token of the tenant's rate, and are answered 429 without one. Change: a case with a stand-in deployment that shows it.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)" || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review-2 ] && [ -x target/rhubarbgate ] || { echo "build the deploy file and review/build-2.sh first" >&2; exit 2; }
-exec target/review-2 parts target/rhubarbgate "$here/record.txt"
+exec target/review-2 ends target/rhubarbgate "$here/record.txt"
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -33,7 +33,6 @@
 	controls     = 3
 	stores       = 4
 	entries      = 2
-	stopTimeout  = 10 * time.Second
 	startTimeout = 30 * time.Second
 )
 
@@ -105,20 +104,6 @@
 	<-p.exited
 }
 
-// stop sends SIGTERM and, if that takes too long, SIGKILL.
-func (p *process) stop() {
-	if p.cmd == nil {
-		return
-	}
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.exited:
-	case <-time.After(stopTimeout):
-		p.kill()
-	}
-}
-
 // ports are the same on all machines.
 type ports struct{ fleet, debug, front, ready, control, app uint16 }
 
