http/ingress: calls that read or end a batch job pass no limit on work at targets

Cause: one chain of filters for all calls; rateFilter exempted a submission by the kind of its route, and calls about jobs have no route. Ruled out: the stores (the refusal comes within a millisecond, names the rate, and with the call let through the end is acknowledged within 2 ms); sides that go on after the end (no item later than 3 s after it then). A submission passes the quarantine, as it reaches no target; a call about a job ends before a draining entry stops.

--- a/internal/command/rhubarbgate/direct.go
+++ b/internal/command/rhubarbgate/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"os"
@@ -103,11 +104,12 @@
 	var v validator
 	a := e.check(&v)
 	readiness := v.address("readiness", e.direct.readiness)
+	v.require(e.jobReads >= 0 && !math.IsInf(e.jobReads, 1), "job-reads", "%g is not a rate", e.jobReads)
 	d := &entry.Direct{
 		AvailabilityZone: e.availabilityZone, Control: replacePorts(a.control, e.direct.fleetPort), Dialect: platform.Dialect{},
 		Directory: e.direct.directory(&v), Wire: wire.NewClient(nil), Clock: boottime.New(), Random: newRandom(0),
 		Logger: newLogger(os.Stdout, "entry"), Metrics: newMetrics("Entry"), MaxAge: e.maxAge, BalancerLag: e.lag, Grace: e.grace, HedgeShare: e.hedgeShare.value,
-		SidePort: e.direct.fleetPort, Features: platform.Features(e.direct.features),
+		JobReads: e.jobReads, SidePort: e.direct.fleetPort, Features: platform.Features(e.direct.features),
 	}
 	if err := v.err(); err != nil {
 		return err
--- a/internal/command/rhubarbgate/direct_test.go
+++ b/internal/command/rhubarbgate/direct_test.go
@@ -55,3 +55,18 @@
 		qt.Check(t, strings.Contains(errs, "hedge-share"), qt.Equals, !test.valid, qt.Commentf("%q: %s", test.value, errs))
 	}
 }
+
+// TestJobReads guards against a limit of reads that an operator mistypes and that refuses all of them.
+func TestJobReads(t *testing.T) {
+	tests := []struct {
+		value string
+		valid bool
+	}{
+		{"0", true}, {"0.5", true}, {"500", true}, {"-1", false}, {"NaN", false}, {"+Inf", false}, {"", false}, {"many", false},
+	}
+	for _, test := range tests {
+		code, _, errs := run("entry", "--job-reads="+test.value, "--target-list", "nowhere")
+		qt.Check(t, code, qt.Equals, exitUsage)
+		qt.Check(t, strings.Contains(errs, "job-reads"), qt.Equals, !test.valid, qt.Commentf("%q: %s", test.value, errs))
+	}
+}
--- a/internal/command/rhubarbgate/entry.go
+++ b/internal/command/rhubarbgate/entry.go
@@ -18,6 +18,9 @@
 // pickers are the values that --picker accepts; the first is the default.
 var pickers = []string{"affinity", "two-choices", "helper-cost", "round-robin"}
 
+// defaultJobReads is the default of --job-reads. A caller reads each of its jobs twice a second.
+const defaultJobReads = 500
+
 // entryFlags are the settings of an entry.
 type entryFlags struct {
 	daemonFlags
@@ -26,6 +29,7 @@
 	subset                  int
 	direct                  directFlags
 	hedgeShare              optionalShare
+	jobReads                float64
 }
 
 func newEntry() *cobra.Command {
@@ -44,6 +48,7 @@
 	f.IntVar(&e.subset, "subset", defaultSubset, "without --target-list: most targets of one model or route that this entry uses; 0 means all")
 	e.direct.add(f)
 	f.Var(&e.hedgeShare, "hedge-share", "with --target-list: share of the requests that may be repeated of which a copy may be sent to a second target when the answer is late, from 0 to 0.2; 0 or empty means none")
+	f.Float64Var(&e.jobReads, "job-reads", defaultJobReads, "with --target-list: reads of batch jobs a second that one workspace may make at this entry; 0 sets no limit")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if e.direct.targetList != "" {
 			return e.runDirect(c.Context())
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -38,6 +38,10 @@
 	// that retry at once are refused again.
 	rateLimitRetryAfter  = 400 * time.Millisecond
 	rateLimitRetryJitter = 800 * time.Millisecond
+	// readRetryAfter is the shortest Retry-After of a caller that reads its batch jobs too often, and
+	// readRetryJitter bounds its random part.
+	readRetryAfter  = 200 * time.Millisecond
+	readRetryJitter = 300 * time.Millisecond
 	// maxTokenWait bounds the wait for a rate-limit token.
 	maxTokenWait = 150 * time.Millisecond
 	// tokenWaitDivisor limits the wait for a token to a fourth of the time that remains
@@ -62,6 +66,9 @@
 	if x.Call.Kind != rhubarbgate.Forward {
 		// A job belongs to its workspace, whatever has become of the route that took it.
 		x.Deadline = x.Arrived.Add(jobTimeout)
+		if stopAt := f.server.stopAt.Load(); stopAt != nil {
+			x.Deadline = earlier(x.Deadline, stopAt.Add(-stopMargin))
+		}
 		return next(x)
 	}
 	r, ok := x.Config.Route(host, path)
@@ -82,6 +89,14 @@
 	return next(x)
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // fitBeforeStop refuses a request that may not end before a draining entry stops: it would be cut without an answer,
 // and another entry can serve it. The submission of a batch job, which takes little time, is answered by then.
 func (s *Server) fitBeforeStop(x *Exchange) error {
@@ -226,6 +241,9 @@
 
 // Handle implements Filter.
 func (f *quarantineFilter) Handle(x *Exchange, next Handler) error {
+	if x.Route.Kind == rhubarbgate.BatchJob {
+		return next(x) // a submission reaches no target; its items are checked when they are run
+	}
 	var blocked *rhubarbgate.Error
 	service := ""
 	for _, share := range x.Route.Split {
@@ -289,3 +307,20 @@
 	}
 	return notRun(rhubarbgate.CodeRateLimited, "workspace %s is beyond its rate of %g a second", x.Workspace, w.Rate).WithRetryAfter(wait)
 }
+
+// readFilter takes a token of the workspace's own limit of reads of batch jobs. The end of a job needs none.
+type readFilter struct{ server *Server }
+
+// Handle implements Filter.
+func (f *readFilter) Handle(x *Exchange, next Handler) error {
+	s := f.server
+	if s.JobReads == nil || x.Call.Kind == rhubarbgate.CancelJob {
+		return next(x)
+	}
+	if ok, wait := s.JobReads.Take(x.Workspace, 1); !ok {
+		s.Counts.JobReadsRefused.Add(1)
+		return notRun(rhubarbgate.CodeOverloaded, "workspace %q reads its batch jobs more often than this entry allows", x.Workspace).
+			WithRetryAfter(max(wait, readRetryAfter) + s.jitter(readRetryJitter))
+	}
+	return next(x)
+}
--- a/internal/http/ingress/forward.go
+++ b/internal/http/ingress/forward.go
@@ -39,14 +39,10 @@
 
 // serve handles a request that passed the filters.
 func (s *Server) serve(x *Exchange) error {
-	switch {
-	case x.Call.Kind != rhubarbgate.Forward:
-		return s.serveJobCall(x)
-	case x.Route.Kind == rhubarbgate.BatchJob:
+	if x.Route.Kind == rhubarbgate.BatchJob {
 		return s.submit(x)
-	default:
-		return s.forward(x)
 	}
+	return s.forward(x)
 }
 
 // forwardedRequest is the state of a request over all its attempts.
--- a/internal/http/ingress/server.go
+++ b/internal/http/ingress/server.go
@@ -65,6 +65,9 @@
 	Limits *targetlimits.Keeper
 	// Streams, if set, remembers which software version began a stream.
 	Streams *streams.Keeper
+	// JobReads, if set, limits the reads of batch jobs of each workspace at this entry. They cost no target, so
+	// that the rate of the workspace does not apply to them.
+	JobReads rhubarbgate.Limiter
 	// Reservations, if set, asks the sides of targets for free slots.
 	Reservations *reserve.Client
 	// Admission, if set, decides whether requests for contended capacity are sent. It may implement
@@ -89,12 +92,14 @@
 
 	http      *fasthttp.Server
 	readiness *fasthttp.Server
-	handle    Handler
-	inFlight  atomic.Int64
-	stopAt    atomic.Pointer[time.Time]     // set while draining
-	startedAt time.Time                     // when Prepare was called
-	feedback  rhubarbgate.AdmissionFeedback // nil if Admission does not take it
-	randomMu  sync.Mutex
+	// handleRequest handles calls that go to targets and submissions, handleJobCall those that read or
+	// end a batch job.
+	handleRequest, handleJobCall Handler
+	inFlight                     atomic.Int64
+	stopAt                       atomic.Pointer[time.Time]     // set while draining
+	startedAt                    time.Time                     // when Prepare was called
+	feedback                     rhubarbgate.AdmissionFeedback // nil if Admission does not take it
+	randomMu                     sync.Mutex
 }
 
 // Counters are the expvar counters of a Server: requests received and refused, retries,
@@ -102,11 +107,11 @@
 // refused, callers that disconnected, requests whose handling panicked, requests whose prompts
 // are blocked, and responses that were withheld because their status would promise that nothing ran, and streams that callers
 // take up, those of them that were refused because of their software version, requests that the admission policy refused, requests
-// that were refused because all targets are in evacuated zones, and copies of late requests that were sent, that
+// that were refused because all targets are in evacuated zones, reads of batch jobs beyond JobReads, and copies of late requests that were sent, that
 // answered first, and that were not sent, by cause.
 type Counters struct {
 	Requests, Refused, Retries, Resumed, TruncatedResponses, TargetRefusals, DisconnectedCallers, Panics, Quarantined, UnstatedPromises, TakenUp, VersionsGone, NotAdmitted,
-	Evacuated, HedgesSent, HedgesWon *expvar.Int
+	Evacuated, JobReadsRefused, HedgesSent, HedgesWon *expvar.Int
 	HedgesRefused *expvar.Map
 }
 
@@ -125,7 +130,7 @@
 		TargetRefusals: counter("TargetsRefused"), DisconnectedCallers: counter("CallersLeft"),
 		Panics: counter("Panics"), Quarantined: counter("RequestsQuarantined"),
 		UnstatedPromises: counter("UnstatedPromises"), TakenUp: counter("StreamsTakenUp"), VersionsGone: counter("StreamsRefusedByVersion"),
-		NotAdmitted: counter("RequestsNotAdmitted"), Evacuated: counter("RequestsRefusedByEvacuation"),
+		NotAdmitted: counter("RequestsNotAdmitted"), Evacuated: counter("RequestsRefusedByEvacuation"), JobReadsRefused: counter("JobReadsRefused"),
 	}
 }
 
@@ -133,7 +138,10 @@
 func (s *Server) Prepare() {
 	s.startedAt = s.Clock.Now()
 	s.feedback, _ = s.Admission.(rhubarbgate.AdmissionFeedback)
-	s.handle = chain(s.serve, &routeFilter{server: s}, &keyFilter{server: s}, &quarantineFilter{server: s}, &rateFilter{server: s})
+	route, key := &routeFilter{server: s}, &keyFilter{server: s}
+	s.handleRequest = chain(s.serve, route, key, &quarantineFilter{server: s}, &rateFilter{server: s})
+	// No limit on work at targets applies to calls that cost no target.
+	s.handleJobCall = chain(s.serveJobCall, route, key, &readFilter{server: s})
 	s.http = &fasthttp.Server{
 		Handler: s.serveHTTP, Name: "rhubarbgate", NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: MaxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
@@ -206,8 +214,12 @@
 		return string(c.Request.Header.Peek(name))
 	})
 	x.Call = call
-	if err == nil {
-		err = s.handle(x)
+	switch {
+	case err != nil:
+	case call.Kind == rhubarbgate.Forward:
+		err = s.handleRequest(x)
+	default:
+		err = s.handleJobCall(x)
 	}
 	if err != nil {
 		s.refuse(x, rhubarbgate.AsError(err))
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -70,6 +70,8 @@
 	BalancerLag time.Duration
 	// HedgeShare is the share of the requests that may be repeated of which a copy may be sent; 0 means none.
 	HedgeShare float64
+	// JobReads is how many reads of batch jobs a second one workspace may make here; 0 means any number.
+	JobReads float64
 	// Grace is how long a draining entry waits for its requests, BalancerLag included.
 	Grace time.Duration
 
@@ -162,6 +164,10 @@
 		Picker: &pick.WarmFirst{Picker: picker}, Reservations: d.reservations(picker), Admission: room, Budget: &retry.Budget{Ratio: retryRatio, MaxBalance: maxRetryBalance},
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
+	if d.JobReads > 0 {
+		reads := limit.Rate{PerSecond: d.JobReads, Burst: d.JobReads}
+		d.server.JobReads = &limit.Static{Clock: d.Clock, Rates: func(string) (limit.Rate, bool) { return reads, true }, Entries: 1}
+	}
 	if d.HedgeShare > 0 {
 		d.server.Hedger = &hedge.Policy{Clock: d.Clock, Share: d.HedgeShare}
 	}
