policy/quarantine: a block allows trials, so that an answer can end it

Cause: an answer ends a block, but what is blocked is sent to no target. The leader granted no trial of a block, nor of one that it adopted or read from its file. Ruled out: waits of items (the second job had no end) and targets that count as down (others were served all the while). Change: a block allows one request at a time, 3, 6 and 8 s after the last end. One account of trials for each part or request, published with the block, reported to a new leader and saved, bounds those after which the fleet has to know to two, of three requests that may come late. Trials of a service take turns, requests on trial go first, sides with busy targets leave trials to others for 1.5 s, and a trial that reached no target is returned. Retry-After is the time until the next trial.

--- a/internal/command/rhubarbgate/quarantine.go
+++ b/internal/command/rhubarbgate/quarantine.go
@@ -56,12 +56,23 @@
 	}
 	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 	defer w.Flush()
-	fmt.Fprintln(w, "PART\tSERVICE\tSTATE\tLEFT")
+	fmt.Fprintln(w, "PART\tSERVICE\tSTATE\tLEFT\tNEXT TRIAL")
 	for _, b := range r.Quarantine.Blocks {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%v\n", b.Part.ID, b.Part.Service, blockState(b), b.Left.Round(time.Second))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\n", b.Part.ID, b.Part.Service, blockState(b), b.Left.Round(time.Second), nextTrial(b))
 	}
 }
 
+// nextTrial says when the next request with the part is sent, to find out whether targets still end with it.
+func nextTrial(b quarantine.Block) string {
+	switch {
+	case b.Trial || b.TrialIn > 0 && b.TrialIn < time.Second:
+		return "now"
+	case b.TrialIn == 0 || b.TrialIn >= b.Left:
+		return "none"
+	}
+	return "in " + b.TrialIn.Round(time.Second).String()
+}
+
 // blockState names the state of a block.
 func blockState(b quarantine.Block) string {
 	if b.Trial {
--- a/internal/controller/crashes/recorder.go
+++ b/internal/controller/crashes/recorder.go
@@ -102,6 +102,8 @@
 	version      control.LeaderVersion
 	suspects     []quarantine.Part
 	blocks       map[quarantine.Part]block
+	// returnedTrials are the trials to be returned to the leader.
+	returnedTrials [][]quarantine.Part
 	// askedAt is when a trial was last asked for, by the first part that is blocked for trial,
 	// unansweredSince the first time since the last reply at which none came, and ownTrialAt when
 	// this process last allowed a trial itself.
@@ -125,10 +127,48 @@
 	except []string
 	trial  bool
 	until  time.Time
+	// trialAt is when a block that is not for trial allows one, zero if it never does, and lateTrials is
+	// Block.LateTrials.
+	trialAt    time.Time
+	lateTrials int
 	// term is that of the leader that has the block.
 	term uint64
 }
 
+// newBlock returns a block of the leader in term as of the given time.
+func newBlock(b quarantine.Block, at time.Time, term uint64) block {
+	r := block{with: b.With, except: b.Except, trial: b.Trial, until: at.Add(b.Left), lateTrials: b.LateTrials, term: term}
+	if b.TrialIn > 0 {
+		r.trialAt = at.Add(b.TrialIn)
+	}
+	return r
+}
+
+// trialSince returns since when the block allows trials, and false if it does not yet.
+func (b *block) trialSince(now time.Time) (time.Time, bool) {
+	if b.trial {
+		return time.Time{}, true
+	}
+	return b.trialAt, !b.trialAt.IsZero() && !now.Before(b.trialAt)
+}
+
+// leftUntilTrial returns how long the block keeps all requests from targets.
+func (b *block) leftUntilTrial(now time.Time) time.Duration {
+	if !b.trialAt.IsZero() && b.trialAt.Before(b.until) {
+		return b.trialAt.Sub(now)
+	}
+	return b.until.Sub(now)
+}
+
+// report returns the block as a leader that lacks it learns of it.
+func (b *block) report(p quarantine.Part, now time.Time) quarantine.Block {
+	r := quarantine.Block{Part: p, With: b.with, Except: b.except, Trial: b.trial, LateTrials: b.lateTrials, Left: b.until.Sub(now)}
+	if !b.trialAt.IsZero() {
+		r.TrialIn = max(b.trialAt.Sub(now), time.Nanosecond)
+	}
+	return r
+}
+
 // NewRecorder returns a Recorder that publishes its counters in m.
 func NewRecorder(t *discovery.Table, c *control.Client, clock clockwork.Clock, logger log.Interface, m *expvar.Map) *Recorder {
 	counter := func(name string) *expvar.Int {
@@ -206,41 +246,57 @@
 // Blocked returns a part for which prompts with the given parts are kept from the targets of the
 // service, and when to try again, or false.
 func (r *Recorder) Blocked(service string, ids []string) (id string, retryAfter time.Duration, blocked bool) {
-	part, left, trials := r.matchBlocks(service, ids)
+	m := r.matchBlocks(service, ids)
 	switch {
-	case left > 0:
-		return part, left, true
-	case len(trials) > 0:
-		return trials[0].ID, TrialRetryAfter, true
+	case m.left > 0:
+		return m.id, m.left, true
+	case len(m.trials) > 0:
+		return m.trials[0].ID, TrialRetryAfter, true
 	}
 	return "", 0, false
 }
 
-// matchBlocks returns the part of a block that applies to prompts with the given parts at targets
-// of the service, and how long it lasts; or else the parts of the blocks for trial that do.
-func (r *Recorder) matchBlocks(service string, ids []string) (id string, left time.Duration, trials []quarantine.Part) {
+// blockMatch is what applies to a prompt.
+type blockMatch struct {
+	// id is the part of a block that allows no trial now, and left how long that lasts.
+	id   string
+	left time.Duration
+	// trials are the parts of the blocks that allow one, if all do, and since is when the last of them began to.
+	trials []quarantine.Part
+	since  time.Time
+}
+
+// matchBlocks returns what applies to prompts with the given parts at targets of the service.
+func (r *Recorder) matchBlocks(service string, ids []string) blockMatch {
+	var m blockMatch
 	if r == nil || len(ids) == 0 {
-		return "", 0, nil
+		return m
 	}
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if len(r.blocks) == 0 {
-		return "", 0, nil
+		return m
 	}
 	now := r.Clock.Now()
 	for p, b := range r.blocks {
-		left := b.until.Sub(now)
-		if left <= 0 || !slices.Contains(ids, p.ID) || slices.Contains(b.except, service) ||
+		if !now.Before(b.until) || !slices.Contains(ids, p.ID) || slices.Contains(b.except, service) ||
 			slices.ContainsFunc(b.with, func(w quarantine.Part) bool { return !slices.Contains(ids, w.ID) }) {
 			continue
 		}
-		if !b.trial {
-			return p.ID, left, nil
+		since, ok := b.trialSince(now)
+		if left := b.leftUntilTrial(now); !ok && left > m.left {
+			m.id, m.left = p.ID, left
 		}
-		trials = append(trials, p)
+		if since.After(m.since) {
+			m.since = since
+		}
+		m.trials = append(m.trials, p)
+	}
+	if m.left > 0 {
+		m.trials = nil
 	}
-	slices.SortFunc(trials, quarantine.CompareParts)
-	return "", 0, trials
+	slices.SortFunc(m.trials, quarantine.CompareParts)
+	return m
 }
 
 // Run checks the targets of recorded breaks and reports to the control hosts until ctx ends.
--- a/internal/controller/crashes/report.go
+++ b/internal/controller/crashes/report.go
@@ -67,12 +67,15 @@
 			// The leader has the ends that were reported to it, and not yet this block.
 			continue
 		}
-		r.blocks[b.Part] = block{with: b.With, except: b.Except, trial: b.Trial, until: at.Add(b.Left), term: q.Version.Term}
+		r.blocks[b.Part] = newBlock(b, at, q.Version.Term)
 	}
-	maps.DeleteFunc(r.askedAt, func(p quarantine.Part, _ time.Time) bool { return !r.blocks[p].trial })
+	maps.DeleteFunc(r.askedAt, func(p quarantine.Part, _ time.Time) bool {
+		_, ok := r.blocks[p]
+		return !ok
+	})
 	for p, b := range r.blocks {
 		if x, ok := before[p]; !ok || x.trial != b.trial {
-			r.logPart(p, blockText(b))
+			r.logBlock(p, b)
 		}
 	}
 	for p := range before {
@@ -83,12 +86,16 @@
 	r.signal()
 }
 
-// blockText returns the text of the log line about a new block.
-func blockText(b block) string {
+// logBlock logs a new block, and when it allows a trial.
+func (r *Recorder) logBlock(p quarantine.Part, b block) {
+	text := "part of prompts blocked"
 	if b.trial {
-		return "part of prompts blocked for trial"
+		text = "part of prompts blocked for trial"
 	}
-	return "part of prompts blocked"
+	now := r.Clock.Now()
+	r.Logger.WithFields(log.Fields{
+		"service": p.Service, "part": p.ID, "left": b.until.Sub(now).String(), "trialIn": max(0, b.leftUntilTrial(now)).String(), "lateTrials": b.lateTrials,
+	}).Info(text)
 }
 
 // logPart logs a change of a block.
@@ -136,6 +143,7 @@
 			e.reportedTerm = reply.Term
 		}
 	}
+	r.returnedTrials = r.returnedTrials[len(in.ReturnedTrials):]
 	for _, p := range reply.Released {
 		if b, ok := r.blocks[p]; ok && b.term < reply.Term {
 			delete(r.blocks, p)
@@ -166,11 +174,12 @@
 	}
 	for p, b := range r.blocks {
 		wanted = append(wanted, p)
-		if left := b.until.Sub(now); b.term < r.version.Term && left > 0 {
-			in.Report.Blocks = append(in.Report.Blocks, quarantine.Block{Part: p, With: b.with, Except: b.except, Trial: b.trial, Left: left})
+		if b.term < r.version.Term && now.Before(b.until) {
+			in.Report.Blocks = append(in.Report.Blocks, b.report(p, now))
 		}
 	}
-	if len(wanted) == 0 {
+	in.ReturnedTrials = slices.Clone(r.returnedTrials)
+	if len(wanted) == 0 && len(in.ReturnedTrials) == 0 {
 		return nil, nil
 	}
 	wanted = append(wanted, quarantine.Part{ID: quarantine.AnyPart})
--- a/internal/controller/crashes/trial.go
+++ b/internal/controller/crashes/trial.go
@@ -17,6 +17,8 @@
 	trialAskInterval = 250 * time.Millisecond
 	// trialAskTimeout bounds the time for which a request waits for the reply.
 	trialAskTimeout = 200 * time.Millisecond
+	// busyTrialDelay is for how long after a block allows a trial busy targets leave it to others.
+	busyTrialDelay = 1500 * time.Millisecond
 	// verdictTime is how long after the end of a target the leader's verdict has arrived.
 	verdictTime = 2 * time.Second
 	// ownTrialAfter is for how long no request for a trial must have been answered before a process
@@ -29,18 +31,20 @@
 // RequestTrial reports whether a request may be sent although its prompt is blocked, as a trial. It
 // asks the leader of the fleet group, which allows one at a time among all processes.
 func (r *Recorder) RequestTrial(ctx context.Context, service string, ids []string) bool {
-	_, left, trials := r.matchBlocks(service, ids)
+	m := r.matchBlocks(service, ids)
+	trials := m.trials
 	if len(trials) == 0 {
 		trials = r.suspectedHere(service, ids)
 	}
-	if left > 0 || len(trials) == 0 || !r.mayAsk(trials[0]) {
+	if m.left > 0 || len(trials) == 0 || !r.mayAsk(trials[0]) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialAskTimeout)
 	defer cancel()
 	reply, err := r.Client.Crashes(ctx, &control.Crashes{Trial: trials})
 	if err != nil {
-		return r.allowOwnTrial()
+		// What is blocked only the leader may try, which counts the trials.
+		return m.since.IsZero() && r.allowOwnTrial()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -86,6 +90,22 @@
 	return suspects
 }
 
+// LeavesTrial reports whether a busy target is to leave a trial with this prompt to others: it may end with all that
+// runs there.
+func (r *Recorder) LeavesTrial(service string, ids []string) bool {
+	m := r.matchBlocks(service, ids)
+	return !m.since.IsZero() && r.Clock.Since(m.since) < busyTrialDelay
+}
+
+// ReturnTrial returns a trial to the leader that was granted for a prompt with the given parts and reached no target.
+// It counts as sent if that is lost.
+func (r *Recorder) ReturnTrial(service string, ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returnedTrials = append(r.returnedTrials, quarantine.Parts(service, ids))
+	r.signal()
+}
+
 // mayAsk reports whether the last request for a trial of the part is long enough ago for another.
 func (r *Recorder) mayAsk(part quarantine.Part) bool {
 	r.mu.Lock()
--- a/internal/http/ingress/filters.go
+++ b/internal/http/ingress/filters.go
@@ -265,6 +265,11 @@
 			f.server.Counts.Quarantined.Add(1)
 			return blocked
 		}
+		err := next(x)
+		if err != nil && rhubarbgate.AsError(err).Verdict == rhubarbgate.NotRun {
+			f.server.Crashes.ReturnTrial(service, x.parts())
+		}
+		return err
 	}
 	return next(x)
 }
--- a/internal/policy/quarantine/request.go
+++ b/internal/policy/quarantine/request.go
@@ -44,12 +44,6 @@
 // IsRequest reports whether the part stands for the content of a request.
 func (p Part) IsRequest() bool { return strings.HasPrefix(p.ID, requestPrefix) }
 
-// requestTrial is a request that was sent as a trial.
-type requestTrial struct {
-	part Part
-	at   time.Time
-}
-
 // isRequestSuspect reports whether targets ended with a request time and again. The lock is held.
 func (t *Table) isRequestSuspect(part Part, now time.Time) bool {
 	c := t.counted(part)
@@ -104,7 +98,7 @@
 // it was suspected have an outcome by then, and so has the newest trial of another request at
 // the service: a target that ends during two trials would show neither to be the cause. The lock is held.
 func (t *Table) mayTryRequest(part Part, now time.Time) bool {
-	if t.blockedRequests[part] || now.Sub(newest(t.counted(part))) < TrialInterval {
+	if now.Sub(newest(t.counted(part))) < TrialInterval {
 		return false
 	}
 	last, ok := t.requestTrials[part.Service]
--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -34,7 +34,7 @@
 	// objectionPeriod is how long a part is suspected before it is blocked. It covers the way
 	// to all daemons and back, which report their answers to the part.
 	objectionPeriod = 800 * time.Millisecond
-	// BlockTime is how long after the last end of a target a part stays blocked.
+	// BlockTime is how long after the last end of a target a part stays blocked, unless a trial is answered.
 	BlockTime = 5 * time.Minute
 	// CrashTTL is how long an end of a target counts. It exceeds BlockTime, so that the first
 	// end after a block blocks the part again at once.
@@ -97,10 +97,31 @@
 	Except []string `msgpack:",omitempty"`
 	// Trial says that one request now and then may be sent, see Table.GrantTrial.
 	Trial bool `msgpack:",omitempty"`
+	// TrialIn is how long no trial is granted for a block that is not for trial. It is positive, also if a
+	// trial is due; 0 is the value of earlier builds, which grant none.
+	TrialIn time.Duration `msgpack:",omitempty"`
+	// LateTrials counts the trials that maxLateTrials bounds.
+	LateTrials int `msgpack:",omitempty"`
 	// Left is how long the block lasts.
 	Left time.Duration
 }
 
+// Aged returns the block as it is after d, and false if it has ended by then.
+func (b Block) Aged(d time.Duration) (Block, bool) {
+	b.Left -= d
+	if b.TrialIn > 0 {
+		b.TrialIn = max(b.TrialIn-d, minTrialIn)
+	}
+	return b, b.Left > 0
+}
+
+// Renews reports whether the block differs from an earlier state of it by more than the passing of time.
+// Differences of less than a second do not count.
+func (b Block) Renews(earlier Block) bool {
+	return b.Part != earlier.Part || b.Trial != earlier.Trial || b.LateTrials != earlier.LateTrials || !slices.Equal(b.With, earlier.With) ||
+		!slices.Equal(b.Except, earlier.Except) || b.Left > earlier.Left+time.Second || (b.TrialIn-earlier.TrialIn).Abs() > time.Second
+}
+
 // Report is what one daemon observed.
 type Report struct {
 	Crashes []Crash
@@ -129,6 +150,7 @@
 	except       []string
 	trial        bool
 	since, until time.Time
+	trialAt      time.Time // no trial is granted before
 }
 
 // Table merges the reports of all daemons. It is safe for concurrent use.
@@ -141,11 +163,15 @@
 	answers      map[Part]time.Time
 	newestAnswer time.Time
 	suspected    map[Part]time.Time // since when
-	trials       map[Part]time.Time // when the newest trial of a suspect was granted
+	trials       map[Part]time.Time // when the newest trial was granted
+	// lateTrials counts the trials that maxLateTrials bounds.
+	lateTrials map[Part]int
 	// failedTrials counts the trials of a request, before the newest, that ended their targets.
 	failedTrials map[Part]int
-	// requestTrials holds the newest trial of a request by service, since one is under way at a time.
-	requestTrials   map[string]requestTrial
+	// requestTrials holds the newest trial of a request by service, since one is under way at a time, and
+	// blockTrials that of a blocked part or request.
+	requestTrials   map[string]lastTrial
+	blockTrials     map[string]lastTrial
 	blockedRequests map[Part]bool
 	adopted         map[Part]adoptedBlock
 }
@@ -158,7 +184,8 @@
 	if t.answers == nil {
 		t.answers, t.suspected, t.trials, t.adopted = map[Part]time.Time{}, map[Part]time.Time{}, map[Part]time.Time{}, map[Part]adoptedBlock{}
 		t.blockedRequests = map[Part]bool{}
-		t.failedTrials, t.requestTrials = map[Part]int{}, map[string]requestTrial{}
+		t.failedTrials, t.lateTrials = map[Part]int{}, map[Part]int{}
+		t.requestTrials, t.blockTrials = map[string]lastTrial{}, map[string]lastTrial{}
 	}
 	now := t.Clock.Now()
 	for _, c := range r.Crashes {
@@ -173,14 +200,7 @@
 		t.newestAnswer = at
 	}
 	for _, b := range r.Blocks {
-		if a, ok := t.adopted[b.Part]; ok && (b.Trial || !a.trial) {
-			continue
-		}
-		left := b.Left
-		if b.Trial {
-			left = min(left, adoptedTrialTime)
-		}
-		t.adopted[b.Part] = adoptedBlock{with: b.With, except: b.Except, trial: b.Trial, since: now, until: now.Add(left)}
+		t.adopt(b, now)
 	}
 	t.update(now)
 	for _, b := range r.Blocks {
@@ -191,6 +211,28 @@
 	return released
 }
 
+// adopt takes over a block of an earlier Table. Of several reports the one that allows the fewest trials
+// counts, as the others are older. The lock is held.
+func (t *Table) adopt(b Block, now time.Time) {
+	t.lateTrials[b.Part] = max(t.lateTrials[b.Part], b.LateTrials)
+	a, known := t.adopted[b.Part]
+	if !known || !b.Trial && a.trial {
+		left := b.Left
+		if b.Trial {
+			left = min(left, adoptedTrialTime)
+		}
+		a = adoptedBlock{with: b.With, except: b.Except, trial: b.Trial, since: now, until: now.Add(left)}
+	}
+	wait := b.TrialIn
+	if wait == 0 {
+		wait = maxTrialWait
+	}
+	if at := now.Add(wait); !b.Trial && at.After(a.trialAt) {
+		a.trialAt = at
+	}
+	t.adopted[b.Part] = a
+}
+
 // addCrash adds the end of a target, or parts to one that is known. The lock is held.
 func (t *Table) addCrash(c Crash, at time.Time) {
 	i := slices.IndexFunc(t.crashes, func(x *crash) bool {
@@ -237,8 +279,13 @@
 		}
 	}
 	t.updateBlockedRequests(crashes, now)
-	maps.DeleteFunc(t.trials, func(p Part, _ time.Time) bool { return t.suspected[p].IsZero() })
-	maps.DeleteFunc(t.failedTrials, func(p Part, _ int) bool { return t.suspected[p].IsZero() })
+	isForgotten := func(p Part) bool {
+		_, adopted := t.adopted[p]
+		return t.suspected[p].IsZero() && !adopted
+	}
+	maps.DeleteFunc(t.trials, func(p Part, _ time.Time) bool { return isForgotten(p) })
+	maps.DeleteFunc(t.failedTrials, func(p Part, _ int) bool { return isForgotten(p) })
+	maps.DeleteFunc(t.lateTrials, func(p Part, _ int) bool { return isForgotten(p) })
 }
 
 // counted returns the ends of targets that count against a part: it was present, and was not
@@ -339,6 +386,13 @@
 			r = append(r, Block{Part: p, With: b.with, Except: b.except, Trial: b.trial, Left: b.until.Sub(now)})
 		}
 	}
+	for i := range r {
+		b := &r[i]
+		b.LateTrials = t.lateTrials[b.Part]
+		if !b.Trial {
+			b.TrialIn = max(t.blockTrialAt(b.Part).Sub(now), minTrialIn)
+		}
+	}
 	slices.SortFunc(r, func(a, b Block) int { return CompareParts(a.Part, b.Part) })
 	return r
 }
--- a/internal/role/replica/quarantine.go
+++ b/internal/role/replica/quarantine.go
@@ -48,6 +48,9 @@
 	With   []quarantine.Part `msgpack:",omitempty"`
 	Except []string          `msgpack:",omitempty"`
 	Until  time.Time
+	// TrialAt is when the block allows a trial, and LateTrials is Block.LateTrials.
+	TrialAt    time.Time `msgpack:",omitempty"`
+	LateTrials int       `msgpack:",omitempty"`
 }
 
 // loadQuarantine reads the blocks that the host saved. They are in force again once it leads the
@@ -65,21 +68,31 @@
 	q := &h.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.at = now
-	for _, b := range saved {
+	q.at, q.value.Blocks = now, restoreBlocks(saved, now)
+	return nil
+}
+
+// restoreBlocks returns the saved blocks that are still in force.
+func restoreBlocks(saved []savedBlock, now time.Time) []quarantine.Block {
+	var blocks []quarantine.Block
+	for _, s := range saved {
 		// The time of day may have been set back since.
-		if left := min(b.Until.Sub(now), quarantine.BlockTime); left > 0 {
-			q.value.Blocks = append(q.value.Blocks, quarantine.Block{Part: b.Part, With: b.With, Except: b.Except, Left: left})
+		b := quarantine.Block{Part: s.Part, With: s.With, Except: s.Except, LateTrials: s.LateTrials, Left: min(s.Until.Sub(now), quarantine.BlockTime)}
+		if !s.TrialAt.IsZero() {
+			b.TrialIn = min(max(s.TrialAt.Sub(now), time.Nanosecond), quarantine.BlockTime)
+		}
+		if b.Left > 0 {
+			blocks = append(blocks, b)
 		}
 	}
-	return nil
+	return blocks
 }
 
 // saveQuarantine saves the blocks whenever they change, until ctx ends.
 func (h *Host) saveQuarantine(ctx context.Context) {
 	t := h.Clock.NewTicker(quarantineSaveInterval)
 	defer t.Stop()
-	var saved []quarantine.Block
+	var saved []savedBlock
 	for {
 		select {
 		case <-ctx.Done():
@@ -92,26 +105,24 @@
 
 // saveBlocks saves the blocks if they differ from those that were saved last, and returns those that
 // are saved now.
-func (h *Host) saveBlocks(saved []quarantine.Block) []quarantine.Block {
-	blocks := withoutTrials(h.Quarantine(h.Clock.Now()).Blocks)
-	if slices.EqualFunc(blocks, saved, sameBlock) {
+func (h *Host) saveBlocks(saved []savedBlock) []savedBlock {
+	now := h.Clock.Now()
+	blocks := withoutTrials(h.Quarantine(now).Blocks)
+	if slices.EqualFunc(blocks, restoreBlocks(saved, now), sameBlock) {
 		return saved
 	}
-	if err := h.writeQuarantine(blocks); err != nil {
+	changed := make([]savedBlock, len(blocks))
+	for i, b := range blocks {
+		changed[i] = savedBlock{Part: b.Part, With: b.With, Except: b.Except, Until: now.Add(b.Left), LateTrials: b.LateTrials}
+		if b.TrialIn > 0 {
+			changed[i].TrialAt = now.Add(b.TrialIn)
+		}
+	}
+	if err := disk.WriteRecord(h.Data, quarantineFile, changed); err != nil {
 		h.Logger.WithError(err).Warn("saving the quarantine failed")
 		return saved
 	}
-	return blocks
-}
-
-// writeQuarantine writes blocks to the data folder.
-func (h *Host) writeQuarantine(blocks []quarantine.Block) error {
-	now := h.Clock.Now()
-	saved := make([]savedBlock, len(blocks))
-	for i, b := range blocks {
-		saved[i] = savedBlock{Part: b.Part, With: b.With, Except: b.Except, Until: now.Add(b.Left)}
-	}
-	return errors.Trace(disk.WriteRecord(h.Data, quarantineFile, saved))
+	return changed
 }
 
 // withoutTrials returns the blocks that are not for trial.
@@ -148,7 +159,7 @@
 		return
 	}
 	suspects, blocks := q.table.Suspects(), q.table.Blocks()
-	if slices.Equal(suspects, q.value.Suspects) && slices.EqualFunc(blocks, q.value.Blocks, sameBlock) {
+	if slices.Equal(suspects, q.value.Suspects) && slices.EqualFunc(blocks, q.value.Aged(now.Sub(q.at)).Blocks, sameBlock) {
 		return
 	}
 	h.logQuarantine(suspects, blocks)
@@ -156,11 +167,9 @@
 	h.notifier.Notify()
 }
 
-// sameBlock reports whether a block was neither narrowed, widened nor renewed since it was
-// published. Renewals that add less than a second do not count.
-func sameBlock(a, published quarantine.Block) bool {
-	return a.Part == published.Part && a.Trial == published.Trial && slices.Equal(a.With, published.With) && slices.Equal(a.Except, published.Except) && a.Left <= published.Left+time.Second
-}
+// sameBlock reports whether a block was neither narrowed, widened, tried nor renewed since it was published or
+// saved.
+func sameBlock(a, earlier quarantine.Block) bool { return !a.Renews(earlier) }
 
 // logQuarantine logs what differs from the published quarantine. The lock is held.
 func (h *Host) logQuarantine(suspects []quarantine.Part, blocks []quarantine.Block) {
@@ -172,7 +181,7 @@
 	}
 	for _, b := range blocks {
 		if !slices.ContainsFunc(last.Blocks, func(x quarantine.Block) bool { return x.Part == b.Part && x.Trial == b.Trial }) {
-			h.Logger.WithFields(log.Fields{"service": b.Part.Service, "part": b.Part.ID, "with": b.With, "except": b.Except, "trial": b.Trial, "left": b.Left.String()}).Warn("part of prompts blocked")
+			h.Logger.WithFields(log.Fields{"service": b.Part.Service, "part": b.Part.ID, "with": b.With, "except": b.Except, "trial": b.Trial, "left": b.Left.String(), "trialIn": b.TrialIn.String(), "lateTrials": b.LateTrials}).Warn("part of prompts blocked")
 		}
 	}
 	for _, b := range last.Blocks {
@@ -190,10 +199,16 @@
 		return &control.CrashesReply{Routing: h.routing(control.FleetGroup)}, nil
 	}
 	released := table.Add(&in.Report)
+	for _, parts := range in.ReturnedTrials {
+		table.ReturnTrial(parts)
+		h.Logger.WithField("parts", parts).Info("trial of a part of prompts returned, it reached no target")
+	}
 	h.updateQuarantine()
 	granted := len(in.Trial) > 0 && table.GrantTrial(in.Trial)
 	if granted {
 		h.Logger.WithField("parts", in.Trial).Info("trial of a part of prompts granted")
+		// The count of trials goes out before the trial does.
+		h.updateQuarantine()
 	}
 	return &control.CrashesReply{Term: term, Released: released, TrialGranted: granted}, nil
 }
--- a/internal/role/side/batchonly.go
+++ b/internal/role/side/batchonly.go
@@ -26,6 +26,8 @@
 	// askedProbeInterval is the interval of load probes without items while entries ask for free slots:
 	// the lag of a report, below which more probes show little more.
 	askedProbeInterval = 50 * time.Millisecond
+	// maxIdleRequests is how many requests an idle target may have.
+	maxIdleRequests = 1
 	// loadProbeTimeout bounds one load probe.
 	loadProbeTimeout = 500 * time.Millisecond
 )
@@ -111,10 +113,14 @@
 	}
 	h.presence.Observe(sent)
 	h.setTargetDown(false)
+	h.targetRequests.Store(int64(l.Running + l.Waiting))
 	h.reservations.ObserveLoad(l, sent, items)
 	h.keeper.ObserveLoad(l)
 }
 
+// isBusy reports whether the target has more requests than an idle one may have.
+func (h *Host) isBusy() bool { return h.targetRequests.Load() > maxIdleRequests }
+
 // hasTasks reports whether items run or are queued at this side.
 func (w *worker) hasTasks() bool {
 	w.mu.Lock()
--- a/internal/role/side/host.go
+++ b/internal/role/side/host.go
@@ -109,21 +109,23 @@
 	// service gets it, if Probe is set; 0 means that it is not known.
 	AddressReuseDelay time.Duration
 
-	startedAt      time.Time
-	wire           *wire.Client
-	control        *control.Client
-	watcher        *configuration.Watcher
-	keeper         *gatekeeper.Gatekeeper
-	targetClient   *target.Client
-	worker         *worker
-	crashes        *crashes.Recorder    // nil without a Probe
-	limits         *targetlimits.Keeper // nil without a Probe
-	presence       *discovery.Presence  // nil without a Probe
-	reservations   *reserve.Server      // nil without Asks
-	health         healthCheck
-	leaving        atomic.Bool
-	targetDown     atomic.Bool
-	evacuated      atomic.Bool // the target's zone, see updateEvacuated
+	startedAt    time.Time
+	wire         *wire.Client
+	control      *control.Client
+	watcher      *configuration.Watcher
+	keeper       *gatekeeper.Gatekeeper
+	targetClient *target.Client
+	worker       *worker
+	crashes      *crashes.Recorder    // nil without a Probe
+	limits       *targetlimits.Keeper // nil without a Probe
+	presence     *discovery.Presence  // nil without a Probe
+	reservations *reserve.Server      // nil without Asks
+	health       healthCheck
+	leaving      atomic.Bool
+	targetDown   atomic.Bool
+	evacuated    atomic.Bool // the target's zone, see updateEvacuated
+	// targetRequests is how many requests the target last reported, running and waiting.
+	targetRequests atomic.Int64
 	activeRequests atomic.Int64
 	counts         counters
 }
--- a/internal/role/side/stream.go
+++ b/internal/role/side/stream.go
@@ -106,9 +106,10 @@
 		return rhubarbgate.Errorf(rhubarbgate.CodeInvalid, rhubarbgate.NotRun, "item: %v", err)
 	}
 	parts := w.sharedParts(&item)
-	if part, retryAfter, blocked := h.crashes.Blocked(i.Service, parts); blocked && !h.crashes.RequestTrial(ctx, i.Service, parts) {
+	part, retryAfter, blocked := h.crashes.Blocked(i.Service, parts)
+	if blocked && (h.isBusy() && h.crashes.LeavesTrial(i.Service, parts) || !h.crashes.RequestTrial(ctx, i.Service, parts)) {
 		t.returnDelay = min(blockedItemDelay, retryAfter)
-		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "targets of service %q end when they answer prompts with the part %s", i.Service, part)
+		return rhubarbgate.Errorf(rhubarbgate.CodeUnavailable, rhubarbgate.NotRun, "targets of service %q end when they answer prompts with the part %s; next trial in %v", i.Service, part, retryAfter)
 	}
 	if software := w.softwareOf(i); t.output.Version != software {
 		if t.output.LastID != "" {
@@ -142,8 +143,11 @@
 			t.brokenOffBy = w.host.Targets.Target(i)
 		}
 	}
-	if e == nil {
+	switch {
+	case e == nil:
 		h.crashes.RecordAnswer(i.Service, parts)
+	case blocked && e.Verdict == rhubarbgate.NotRun:
+		h.crashes.ReturnTrial(i.Service, parts)
 	}
 	return e
 }
--- a/internal/rpc/control/message.go
+++ b/internal/rpc/control/message.go
@@ -176,8 +176,8 @@
 func (q Quarantine) Aged(d time.Duration) Quarantine {
 	blocks := make([]quarantine.Block, 0, len(q.Blocks))
 	for _, b := range q.Blocks {
-		if b.Left -= d; b.Left > 0 {
-			blocks = append(blocks, b)
+		if aged, ok := b.Aged(d); ok {
+			blocks = append(blocks, aged)
 		}
 	}
 	q.Blocks = blocks
@@ -187,8 +187,10 @@
 // Crashes reports to the leader of the fleet group which targets ended with which prompts.
 type Crashes struct {
 	Report quarantine.Report
-	// Trial asks for a trial with a prompt that has these parts, which are blocked for trial.
+	// Trial asks for a trial with a prompt that has these parts, which are blocked.
 	Trial []quarantine.Part `msgpack:",omitempty"`
+	// ReturnedTrials are the parts of granted trials that reached no target.
+	ReturnedTrials [][]quarantine.Part `msgpack:",omitempty"`
 }
 
 // CrashesReply is the reply to Crashes.
