role/replica: a line says how long an item waits because targets ended with it

Change: "item waits, targets ended with it", with the ends and the wait of the item and of its job. One line for each item at the end of a target; none while there is no wait.

--- a/internal/role/replica/host.go
+++ b/internal/role/replica/host.go
@@ -222,7 +222,7 @@
 	if err := h.addGroup(id, m); err != nil {
 		return errors.Trace(err)
 	}
-	l := &leadership{group: h.groups[id], machine: m}
+	l := &leadership{group: h.groups[id], machine: m, logger: h.Logger}
 	l.owner = &limit.Owner{Clock: h.Clock, Rates: h.requestRate, TTL: GrantTTL, Drift: ClockDrift}
 	l.dispatcher = &batch.Dispatcher{
 		Clock: h.Clock, Machine: m.Jobs,
--- a/internal/role/replica/leadership.go
+++ b/internal/role/replica/leadership.go
@@ -44,6 +44,7 @@
 	machine       *shard.Machine
 	owner         *limit.Owner
 	dispatcher    *batch.Dispatcher
+	logger        log.Interface
 	nextCheckAt   time.Time // when collect next runs
 	settledTerm   uint64    // newest term that was proposed as settled
 	nextCollectAt time.Time // when collect next removes expired records
--- a/internal/role/replica/rpc.go
+++ b/internal/role/replica/rpc.go
@@ -237,6 +237,7 @@
 	}
 	if c.Return != nil {
 		l.dispatcher.RemoveLeases(c.Return.Items, 0)
+		l.logWaits(c.Return, r.Jobs)
 	}
 	if c.Complete == nil {
 		return
@@ -248,6 +249,20 @@
 	l.dispatcher.RemoveLeases(refs, len(refs))
 }
 
+// logWaits logs how long items wait at whose runs targets ended.
+func (l *leadership) logWaits(c *jobs.Return, r *jobs.Result) {
+	for i, ref := range c.Items {
+		if i >= len(c.TargetEnded) || !c.TargetEnded[i] || i >= len(r.Accepted) || !r.Accepted[i] {
+			continue
+		}
+		if w, ok := l.machine.Jobs.WaitOf(ref); ok && (w.Wait > 0 || w.JobWait > 0) {
+			l.logger.WithFields(log.Fields{
+				"job": ref.Job, "index": ref.Index, "attempt": ref.Attempt, "ends": w.Ends, "wait": w.Wait.String(), "jobEnds": w.JobEnds, "jobWait": w.JobWait.String(),
+			}).Info("item waits, targets ended with it")
+		}
+	}
+}
+
 // lease handles control.MethodLease: it leases pending items to a side. Leases of
 // earlier incarnations of the side expire first.
 func (h *Host) lease(ctx context.Context, in *control.Lease) (*control.LeaseReply, error) {
--- a/internal/state/jobs/ends.go
+++ b/internal/state/jobs/ends.go
@@ -107,6 +107,27 @@
 	return found
 }
 
+// ItemWait says how long an item waits because targets ended with it or with others of its job.
+type ItemWait struct {
+	// Ends is the number of ends with the item, and JobEnds that of the moments at which targets ended with
+	// any item of the job, in both cases since a target last answered.
+	Ends, JobEnds int
+	// Wait and JobWait are the times from the last of these ends to the next lease, 0 if there is no wait.
+	Wait, JobWait time.Duration
+}
+
+// WaitOf returns how long an item waits, and false if its job is unknown.
+func (m *Machine) WaitOf(ref ItemRef) (ItemWait, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	j := m.jobs[ref.Job]
+	if j == nil {
+		return ItemWait{}, false
+	}
+	e := j.ends[int32(ref.Index)]
+	return ItemWait{Ends: int(e.Count), JobEnds: int(j.streak.Count), Wait: e.delay(), JobWait: j.streak.delay()}, true
+}
+
 // Waiting returns how many items wait because targets ended with them.
 func (m *Machine) Waiting() int {
 	m.mu.RLock()
