state/jobs: the waits after ends of targets leave time to run before a job is due

Cause: the wait doubled with each end up to 5 minutes, and nothing bounded it by when the job is due. Change: an item waits 2, 4 and then 8 s, a job on trial up to 12 s. Each end with an item that had waited doubles the time between trials of a group, from 0.5 to 4 s, until an answer, so that many items that truly end targets keep less than one target down on average.

--- a/internal/controller/batch/ends_test.go
+++ b/internal/controller/batch/ends_test.go
@@ -137,3 +137,36 @@
 		}
 	}
 }
+
+// TestManyItemsThatEndTargets guards against items of many jobs that each end a target as soon as their wait is over, so that
+// few targets are left.
+func TestManyItemsThatEndTargets(t *testing.T) {
+	const duration, settled = 2 * time.Minute, time.Minute
+	d, m, clock := newDispatcher(t, 1)
+	for i := range 9 {
+		m.Apply(&jobs.Command{At: clock.Now(), Submit: &jobs.Submit{
+			ID: fmt.Sprint("bad-", i), Workspace: "w", Window: 18 * time.Second, Retention: time.Hour, Attempts: 3,
+			Items: []jobs.ItemInput{{ID: fmt.Sprint(i), Needs: "r", Idempotent: true, Line: []byte("x")}},
+		}})
+	}
+	s := &fleetSimulation{dispatcher: d, machine: m, clock: clock, downtime: 3500 * time.Millisecond, crashes: func(jobs.ItemRef) bool { return true }}
+	for range 12 {
+		s.targets = append(s.targets, simulatedTarget{running: map[jobs.ItemRef]time.Time{}})
+	}
+	start := clock.Now()
+	for ; clock.Since(start) < duration; clock.Advance(simulationStep) {
+		for i := range s.targets {
+			s.step(i)
+		}
+	}
+	late := 0
+	for _, at := range s.ends {
+		if at.Sub(start) > settled {
+			late++
+		}
+	}
+	// On average less than one target is down.
+	qt.Check(t, float64(late)*s.downtime.Seconds() < (duration-settled).Seconds(), qt.IsTrue, qt.Commentf("%d ends in the last %v", late, duration-settled))
+	qt.Check(t, late > 0, qt.IsTrue, qt.Commentf("the items are not tried any more"))
+	t.Logf("%d ends, %d in the last %v", len(s.ends), late, duration-settled)
+}
--- a/internal/state/jobs/ends.go
+++ b/internal/state/jobs/ends.go
@@ -9,10 +9,16 @@
 	// secondEndDelay is how long an item waits after the second end of a target. Each further end
 	// doubles the wait, up to maxEndDelay. The first end is most often due to something else.
 	secondEndDelay = 2 * time.Second
-	maxEndDelay    = 5 * time.Minute
-	// trialGap is the time between the leases of two items that have waited. Sound items that were in
+	// maxEndDelay and maxJobDelay bound the waits of an item and of a job on trial. With the time of a run, and for an
+	// item that of other trials, they are under the 18 s in which a batch job is due.
+	maxEndDelay = 8 * time.Second
+	maxJobDelay = 12 * time.Second
+	// minTrialGap is the time between the leases of two items that have waited. Sound items that were in
 	// flight with one that ends targets would otherwise wait as long as it, and be leased with it again.
-	trialGap = 500 * time.Millisecond
+	// Each end of a target with an item that had waited doubles the gap, up to maxTrialGap, about the time in which a
+	// target returns; an answer to one resets it. Many items that end targets thus end one after the other.
+	minTrialGap = 500 * time.Millisecond
+	maxTrialGap = 4 * time.Second
 	// sameMoment is the time within which the ends of targets with several items of a job may have
 	// one cause, such as the loss of a rack.
 	sameMoment = time.Second
@@ -34,23 +40,28 @@
 	}
 }
 
-// delay returns the time between the newest end and the next lease.
-func (e targetEnds) delay() time.Duration {
+// delay returns the time between the newest end with an item and its next lease.
+func (e targetEnds) delay() time.Duration { return e.delayUpTo(maxEndDelay) }
+
+// jobDelay returns the time between the newest end with any item of a job on trial and the next lease of one.
+func (e targetEnds) jobDelay() time.Duration { return e.delayUpTo(maxJobDelay) }
+
+func (e targetEnds) delayUpTo(limit time.Duration) time.Duration {
 	if e.Count < 2 {
 		return 0
 	}
 	d := secondEndDelay
 	for range e.Count - 2 {
-		if d *= 2; d >= maxEndDelay {
-			return maxEndDelay
+		if d *= 2; d >= limit {
+			return limit
 		}
 	}
 	return d
 }
 
-// waits reports whether the delay, counted from the given time, is not over yet. The time may come
-// from a host whose clock was ahead, which must not prolong the wait for long.
-func (e targetEnds) waits(since, now time.Time) bool { return now.Sub(since).Abs() < e.delay() }
+// isWithin reports whether less than a delay has passed since a time. The time may come from a host whose clock was
+// ahead, which must not prolong a wait for long.
+func isWithin(delay time.Duration, since, now time.Time) bool { return now.Sub(since).Abs() < delay }
 
 // saveEnds keeps the ends of targets with item i.
 func (j *job) saveEnds(i int32, e targetEnds) {
@@ -62,8 +73,11 @@
 
 // recordEnd records the end of a target with item i. The job is on trial from the second moment
 // at which targets ended with its items.
-func (j *job) recordEnd(i int, at time.Time) {
+func (m *Machine) recordEnd(j *job, i int, at time.Time) {
 	e := j.ends[int32(i)]
+	if e.delay() > 0 {
+		m.trialGap = min(2*max(m.trialGap, minTrialGap), maxTrialGap)
+	}
 	e.add(at)
 	j.saveEnds(int32(i), e)
 	if j.streak.Count == 0 || at.Sub(j.streak.At).Abs() >= sameMoment {
@@ -72,7 +86,10 @@
 }
 
 // recordAnswer records that a target answered item i.
-func (j *job) recordAnswer(i int) {
+func (m *Machine) recordAnswer(j *job, i int) {
+	if j.ends[int32(i)].delay() > 0 {
+		m.trialGap = minTrialGap
+	}
 	delete(j.ends, int32(i))
 	j.streak = targetEnds{}
 }
@@ -87,20 +104,21 @@
 
 // isPaused reports whether the job is on trial and no other item of it may be leased yet.
 func (j *job) isPaused(now time.Time) bool {
-	return j.streak.waits(j.streak.At, now) || j.streak.waits(j.triedAt, now)
+	d := j.streak.jobDelay()
+	return isWithin(d, j.streak.At, now) || isWithin(d, j.triedAt, now)
 }
 
 // findTrial returns the position in j.waiting[need] of the item to try now: one that has waited long
 // enough, and of those the one with the fewest ends, which is sound most likely. It returns -1 if
 // there is none. The lock is held.
 func (m *Machine) findTrial(j *job, need uint16) int {
-	if m.now.Sub(m.triedAt).Abs() < trialGap {
+	if m.now.Sub(m.triedAt).Abs() < max(m.trialGap, minTrialGap) {
 		return -1
 	}
 	found := -1
 	for k, i := range j.waiting[need] {
 		e := j.ends[i]
-		if !e.waits(e.At, m.now) && (found < 0 || e.Count < j.ends[j.waiting[need][found]].Count) {
+		if !isWithin(e.delay(), e.At, m.now) && (found < 0 || e.Count < j.ends[j.waiting[need][found]].Count) {
 			found = k
 		}
 	}
@@ -125,7 +143,7 @@
 		return ItemWait{}, false
 	}
 	e := j.ends[int32(ref.Index)]
-	return ItemWait{Ends: int(e.Count), JobEnds: int(j.streak.Count), Wait: e.delay(), JobWait: j.streak.delay()}, true
+	return ItemWait{Ends: int(e.Count), JobEnds: int(j.streak.Count), Wait: e.delay(), JobWait: j.streak.jobDelay()}, true
 }
 
 // Waiting returns how many items wait because targets ended with them.
--- a/internal/state/jobs/items.go
+++ b/internal/state/jobs/items.go
@@ -115,9 +115,9 @@
 			}
 			switch {
 			case i < len(c.TargetEnded) && c.TargetEnded[i]:
-				j.recordEnd(ref.Index, at)
+				m.recordEnd(j, ref.Index, at)
 			case len(progress) > len(j.progress[int32(ref.Index)]):
-				j.recordAnswer(ref.Index)
+				m.recordAnswer(j, ref.Index)
 			default:
 				// The item did not run, or without a result, so another one may be tried at once.
 				j.triedAt = time.Time{}
@@ -180,7 +180,7 @@
 		}
 		r.Accepted[i] = true
 		if outcome.OK {
-			j.recordAnswer(outcome.Ref.Index)
+			m.recordAnswer(j, outcome.Ref.Index)
 			m.finishItem(j, outcome.Ref.Index, Done, outcome.Output)
 		} else {
 			m.failAttempt(j, outcome)
@@ -206,7 +206,7 @@
 		x.failures++
 	}
 	if o.Verdict == rhubarbgate.Ran {
-		j.recordAnswer(o.Ref.Index)
+		m.recordAnswer(j, o.Ref.Index)
 	}
 	if mayRetry && !o.Permanent && int(x.failures) < min(limit, math.MaxUint8) {
 		m.requeue(j, o.Ref.Index)
--- a/internal/state/jobs/machine.go
+++ b/internal/state/jobs/machine.go
@@ -35,9 +35,11 @@
 	// terminal counts all items that became terminal, including those of removed
 	// jobs. Snapshots keep it.
 	terminal uint64
-	// now is the time that Advance was last called with, and triedAt when an item that had waited
-	// was last chosen.
+	// now is the time that Advance was last called with, triedAt when an item that had waited was last
+	// chosen, and trialGap the time from then to the next, see minTrialGap. Each replica keeps its own, and only
+	// the leader uses them.
 	now, triedAt time.Time
+	trialGap     time.Duration
 }
 
 // file is an uploaded file, or the items of a job created by Submit.
--- a/internal/state/jobs/query.go
+++ b/internal/state/jobs/query.go
@@ -180,7 +180,7 @@
 		if j.State != Running || count <= 0 || j.isPaused(m.now) {
 			continue
 		}
-		if j.streak.delay() > 0 {
+		if j.streak.jobDelay() > 0 {
 			count = 1
 		}
 		r = append(r, rhubarbgate.PendingJob{
@@ -209,7 +209,7 @@
 		}
 		// A job on trial leases one item at a time, first those at which no two targets ended.
 		next := []func(*job, uint16) (ItemRef, bool){m.nextWaiting, m.nextQueued}
-		if j.streak.delay() > 0 {
+		if j.streak.jobDelay() > 0 {
 			slices.Reverse(next)
 		}
 		for _, f := range next {
