soak: ends of targets that follow an item by chance, and a workspace beyond its rate that reads and ends its jobs

Change: in half of the seeds targets end two to five times whenever they run one item of a job, whose items share a part of their prompts; in half of them workspace three sends ten times its rate, and reads and ends its jobs. Checks: the items are listed 18 s after the load, no call about a job gets 429, and no item reaches a target later than 3 s after the end of its job is acknowledged. quarantine list has a test of its new column.

--- a/internal/command/rhubarbgate/command_test.go
+++ b/internal/command/rhubarbgate/command_test.go
@@ -6,8 +6,11 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 )
 
 // run runs the command line and returns the exit status, stdout and stderr.
@@ -111,3 +114,20 @@
 		}
 	}
 }
+
+// TestListedTrials guards against operators who wait for a trial of a block that does not come, or overlook one that does.
+func TestListedTrials(t *testing.T) {
+	tests := []struct {
+		block quarantine.Block
+		want  string
+	}{
+		{quarantine.Block{Trial: true, Left: time.Minute}, "now"},
+		{quarantine.Block{TrialIn: time.Nanosecond, Left: time.Minute}, "now"},
+		{quarantine.Block{TrialIn: 7800 * time.Millisecond, Left: time.Minute}, "in 8s"},
+		{quarantine.Block{TrialIn: 2 * time.Minute, Left: time.Minute}, "none"},
+		{quarantine.Block{Left: time.Minute}, "none"},
+	}
+	for _, test := range tests {
+		qt.Check(t, nextTrial(test.block), qt.Equals, test.want)
+	}
+}
--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -216,7 +216,8 @@
 func (s *Soak) submit(ctx context.Context, j *job, entry int) bool {
 	callCtx, cancel := deadline.WithTimeout(context.WithoutCancel(ctx), s.Clock, callerTimeout)
 	defer cancel()
-	r := s.client.SubmitPadded(callCtx, netip.AddrPortFrom(s.entries[entry].address, callerPort), j.id, j.key, j.items, j.itemBytes)
+	address := netip.AddrPortFrom(s.entries[entry].address, callerPort)
+	r := s.client.SubmitPrompts(callCtx, address, j.id, j.key, j.items, j.itemBytes, j.part)
 	ok := r.Err == nil && r.Status == 202
 	j.refused = (j.refused || !j.accepted) && r.PromisesNotRun() && !ok && !j.outcomeUnknown
 	j.outcomeUnknown = j.outcomeUnknown || !ok && !r.PromisesNotRun()
@@ -232,7 +233,7 @@
 	snapshot := append([]*job(nil), s.history.jobs...)
 	s.history.mu.Unlock()
 	for i, j := range snapshot {
-		if ctx.Err() != nil || !j.accepted || len(j.listed) == len(j.items) && i%7 != len(snapshot)%7 {
+		if ctx.Err() != nil || !j.accepted || !j.endedAt.IsZero() || len(j.listed) == len(j.items) && i%7 != len(snapshot)%7 {
 			continue
 		}
 		after := 0
@@ -257,7 +258,7 @@
 	defer s.history.mu.Unlock()
 	n := 0
 	for _, j := range s.history.jobs {
-		if j.accepted && !j.endless && len(j.listed) < len(j.items) {
+		if j.isOwed() {
 			n++
 		}
 	}
--- a/internal/soak/fleet/check.go
+++ b/internal/soak/fleet/check.go
@@ -46,13 +46,24 @@
 	// itemBytes is the least size of an item's body.
 	itemBytes int
 	// endless says that no target can finish the items.
-	endless        bool
+	endless bool
+	// part is one that the prompts of all items share, if it is not empty.
+	part string
+	// followed says that targets ended by chance when they ran one of the items, and endedAt when its caller's end
+	// of the job was acknowledged.
+	followed       bool
+	endedAt        time.Time
 	accepted       bool
 	outcomeUnknown bool // the outcome of some attempt to submit it is unknown
 	refused        bool // every attempt was refused with a status which guarantees that nothing ran
 	listed         []platformtest.Result
 }
 
+// isOwed reports whether items of the job are still to be listed.
+func (j *job) isOwed() bool {
+	return j.accepted && !j.endless && j.endedAt.IsZero() && len(j.listed) < len(j.items)
+}
+
 // history records the requests and jobs of a run, and the violated guarantees.
 type history struct {
 	mu          sync.Mutex
@@ -196,7 +207,7 @@
 		}
 		delete(runs, id)
 	}
-	if j.accepted && !j.endless && len(j.listed) != len(j.items) {
+	if j.isOwed() {
 		h.addViolation("job %s: %d of %d items are listed at the end", j.id, len(j.listed), len(j.items))
 	}
 }
--- a/internal/soak/fleet/soak.go
+++ b/internal/soak/fleet/soak.go
@@ -153,7 +153,7 @@
 func (s *Soak) Run(ctx context.Context) (*Report, error) {
 	s.Size, s.Injectors = max(s.Size, 1), cmp.Or(s.Injectors, defaultInjectors)
 	s.client = platformtest.NewClient()
-	s.keys = map[string][]string{"one": {"key-one-a", "key-one-b"}, "two": {"key-two-a"}}
+	s.keys = map[string][]string{"one": {"key-one-a", "key-one-b"}, "two": {"key-two-a"}, "three": {greedyKey}}
 	s.history.revokedKeys = map[string]time.Time{}
 	s.gracefullyStopping, s.unready, s.faulted, s.reused = map[*process]bool{}, map[*process]bool{}, map[*process]bool{}, map[*platformtest.Target]bool{}
 	defer s.stopAll()
@@ -189,6 +189,13 @@
 	if sendsBodies {
 		tasks.Go(func() { s.repeatCrashingRequest(loadCtx, repeating) })
 	}
+	following, greedy := rand.New(rand.NewPCG(s.Seed, 90)), rand.New(rand.NewPCG(s.Seed, 91))
+	if following.IntN(2) == 0 {
+		tasks.Go(func() { s.followItems(loadCtx, following) })
+	}
+	if greedy.IntN(2) == 0 {
+		tasks.Go(func() { s.useBeyondRate(loadCtx, greedy) })
+	}
 	raising, probing := rand.New(rand.NewPCG(s.Seed, 92)), rand.New(rand.NewPCG(s.Seed, 93))
 	tasks.Go(func() { s.raiseVersions(loadCtx, raising) })
 	tasks.Go(func() { s.probeVersions(loadCtx, probing) })
@@ -220,6 +227,7 @@
 	}
 	s.verifyLimits()
 	s.verifyEvacuation()
+	s.verifyEnds()
 	s.verifyProcesses()
 	crashes, late := s.verifyCrashes()
 	r := s.report()
@@ -255,12 +263,18 @@
 // awaitRecovery waits until the results of all accepted jobs are listed, then checks
 // that the configuration read back is not older than the last one acknowledged.
 func (s *Soak) awaitRecovery(ctx context.Context) {
-	until := s.Clock.Now().Add(convergenceTimeout)
+	loadEnded := s.Clock.Now()
+	until := loadEnded.Add(convergenceTimeout)
+	verified := false
 	for s.Clock.Now().Before(until) && ctx.Err() == nil {
 		s.readJobs(ctx, 0)
 		if s.pendingJobs() == 0 {
 			break
 		}
+		if !verified && s.Clock.Since(loadEnded) > finishTime {
+			verified = true
+			s.verifyFollowed()
+		}
 		s.Clock.Sleep(200 * time.Millisecond)
 	}
 	until = s.Clock.Now().Add(convergenceTimeout)
--- a/internal/soak/fleet/start.go
+++ b/internal/soak/fleet/start.go
@@ -160,7 +160,7 @@
 func (s *Soak) configure(ctx context.Context, version uint64, until time.Time) bool {
 	// The route of open jobs changes its name with each version.
 	s.markers = append(s.markers, marker(version))
-	document := platformtest.DocumentWithBatch(fmt.Sprintf("batch-%d", version), version, s.keys, s.markers...)
+	document := platformtest.WithRate(platformtest.DocumentWithBatch(fmt.Sprintf("batch-%d", version), version, s.keys, s.markers...), "three", greedyRate)
 	for n := 0; s.Clock.Now().Before(until) && ctx.Err() == nil; n++ {
 		callCtx, cancel := deadline.WithTimeout(ctx, s.Clock, time.Second)
 		r := s.client.Put(callCtx, netip.AddrPortFrom(s.controlHosts[n%controlCount].address, operatorPort), document)
