controller/crashes, http/ingress: tests of returned trials; a returned trial names the parts of other services

Cause: a block holds at other services too, so that a trial there is one of the part at the service that is blocked; the return named only the caller's own service, and the trial stayed counted as sent. Found by reading. Result: TestReturnedTrialsReachTheLeader has such a block; TestTrialsThatAreNotSentAreReturned: a trial that the rate of its workspace refuses is returned, one that ran is not.

--- a/internal/controller/crashes/trial.go
+++ b/internal/controller/crashes/trial.go
@@ -102,7 +102,14 @@
 func (r *Recorder) ReturnTrial(service string, ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returnedTrials = append(r.returnedTrials, quarantine.Parts(service, ids))
+	parts := quarantine.Parts(service, ids)
+	// A block of another service applies here too, and the trial was one of its part.
+	for p := range r.blocks {
+		if p.Service != service && slices.Contains(ids, p.ID) {
+			parts = append(parts, p)
+		}
+	}
+	r.returnedTrials = append(r.returnedTrials, parts)
 	r.signal()
 }
 
--- a/internal/controller/crashes/trial_test.go
+++ b/internal/controller/crashes/trial_test.go
@@ -77,18 +77,14 @@
 func TestReturnedTrialsReachTheLeader(t *testing.T) {
 	var term atomic.Uint64
 	r, received := newTestRecorder(t, &term, nil)
-	go r.Run(t.Context())
+	other := quarantine.Part{Service: "other", ID: "a"}
+	r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: other, TrialIn: 1, Left: time.Minute}}}, r.Clock.Now())
 	r.ReturnTrial("lm", []string{"a", "b"})
+	in, _ := r.buildReport()
+	qt.Assert(t, in.ReturnedTrials, qt.DeepEquals, [][]quarantine.Part{append(quarantine.Parts("lm", []string{"a", "b"}), other)})
+	qt.Assert(t, r.reportOnce(t.Context()), qt.IsTrue)
 	<-received
-	for {
-		r.mu.Lock()
-		left := len(r.returnedTrials)
-		r.mu.Unlock()
-		if left == 0 {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
+	qt.Assert(t, r.returnedTrials, qt.HasLen, 0)
 }
 
 // TestNewLeaderLearnsOfTrials guards against a new leader that counts the trials of a block from the start.
--- a/internal/http/ingress/answers_test.go
+++ b/internal/http/ingress/answers_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"rhubarbgate.example/rhubarbgate/internal/controller/crashes"
+	"rhubarbgate.example/rhubarbgate/internal/policy/limit"
 	"rhubarbgate.example/rhubarbgate/internal/policy/quarantine"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/control"
 	"rhubarbgate.example/rhubarbgate/internal/rpc/wire"
@@ -69,3 +70,44 @@
 		})
 	}
 }
+
+// TestTrialsThatAreNotSentAreReturned guards against counting a trial of a blocked request as sent that the rate of its
+// workspace refused, and against returning one that a target ran.
+func TestTrialsThatAreNotSentAreReturned(t *testing.T) {
+	tests := []struct {
+		name     string
+		tokens   float64
+		status   int
+		returned bool
+	}{
+		{"refused", 0, http.StatusTooManyRequests, true},
+		{"run", 1, http.StatusOK, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEntry(t, &platformtest.Target{PlainPrefixes: []string{"/safe/"}})
+			e.serveStore()
+			e.server.Holder.ApplyGrants(time.Now(), nil, []limit.Grant{{Workspace: "w", ID: 1, Tokens: test.tokens, TTL: time.Minute, PerSecond: 0.01, Wait: time.Minute}})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			reports := make(chan *control.Crashes, 16)
+			mux := wire.NewMux()
+			wire.Unary(mux, control.MethodCrashes, wire.Daemons, func(_ context.Context, in *control.Crashes) (*control.CrashesReply, error) {
+				reports <- in
+				return &control.CrashesReply{Term: 1, TrialGranted: len(in.Trial) > 0}, nil
+			})
+			go func() { _ = mux.Serve(t.Context(), l) }()
+			client := &control.Client{Wire: wire.NewClient(nil), Hosts: []netip.AddrPort{l.Addr().(*net.TCPAddr).AddrPort()}, Clock: e.server.Clock}
+			r := crashes.NewRecorder(e.server.Targets, client, e.server.Clock, e.server.Logger, new(expvar.Map).Init())
+			e.server.Crashes = r
+			part := quarantine.Part{Service: "lm", ID: quarantine.RequestPart("w", http.MethodGet, host, "/safe/x", nil)}
+			r.Update(control.Quarantine{Version: control.LeaderVersion{Term: 1, Number: 1}, Blocks: []quarantine.Block{{Part: part, TrialIn: 1, Left: time.Minute}}}, time.Now())
+			qt.Assert(t, e.call(http.MethodGet, "/safe/x", secret).StatusCode, qt.Equals, test.status)
+			qt.Assert(t, (<-reports).Trial, qt.DeepEquals, []quarantine.Part{part})
+			go r.Run(t.Context())
+			in := <-reports
+			qt.Assert(t, len(in.ReturnedTrials) > 0, qt.Equals, test.returned)
+			qt.Assert(t, len(in.Report.Answers) > 0, qt.Equals, !test.returned)
+		})
+	}
+}
