--- a/internal/policy/limit/static.go
+++ b/internal/policy/limit/static.go
@@ -28,6 +28,13 @@
 
 var _ rhubarbgate.Limiter = (*Static)(nil)
 
+// Uniform returns a limiter that gives each workspace the same rate. Its buckets hold the tokens of a second, and at
+// least one.
+func Uniform(clock clockwork.Clock, perSecond float64) *Static {
+	rate := Rate{PerSecond: perSecond, Burst: math.Max(1, perSecond)}
+	return &Static{Clock: clock, Rates: func(string) (Rate, bool) { return rate, true }, Entries: 1}
+}
+
 // Take implements rhubarbgate.Limiter. The time that it returns with a refusal is a
 // fixed value, not an estimate.
 func (s *Static) Take(workspace string, n float64) (bool, time.Duration) {
--- a/internal/role/entry/direct.go
+++ b/internal/role/entry/direct.go
@@ -165,8 +165,7 @@
 		Clock: d.Clock, Random: derivedRandom(d.Random, 3), Logger: d.Logger, Counts: ingress.NewCounters(d.Metrics), MaxAge: d.MaxAge,
 	}
 	if d.JobReads > 0 {
-		reads := limit.Rate{PerSecond: d.JobReads, Burst: d.JobReads}
-		d.server.JobReads = &limit.Static{Clock: d.Clock, Rates: func(string) (limit.Rate, bool) { return reads, true }, Entries: 1}
+		d.server.JobReads = limit.Uniform(d.Clock, d.JobReads)
 	}
 	if d.HedgeShare > 0 {
 		d.server.Hedger = &hedge.Policy{Clock: d.Clock, Share: d.HedgeShare}
