--- a/internal/state/jobs/machine.go
+++ b/internal/state/jobs/machine.go
@@ -36,8 +36,8 @@
 	// jobs. Snapshots keep it.
 	terminal uint64
 	// now is the time that Advance was last called with, triedAt when an item that had waited was last
-	// chosen, and trialGap the time from then to the next, see minTrialGap. Each replica keeps its own, and only
-	// the leader uses them.
+	// leased, and trialGap the time from then to the next such lease, see minTrialGap. They are not part of the
+	// replicated state; only the leader uses them.
 	now, triedAt time.Time
 	trialGap     time.Duration
 }
