--- a/internal/policy/quarantine/table.go
+++ b/internal/policy/quarantine/table.go
@@ -172,6 +172,7 @@
 	// blockTrials that of a blocked part or request.
 	requestTrials   map[string]lastTrial
 	blockTrials     map[string]lastTrial
+	returnedAt      time.Time // when a trial was last returned
 	blockedRequests map[Part]bool
 	adopted         map[Part]adoptedBlock
 }
--- a/internal/policy/quarantine/trial_test.go
+++ b/internal/policy/quarantine/trial_test.go
@@ -127,6 +127,8 @@
 		qt.Assert(t, table.GrantTrial([]Part{part}), qt.IsTrue)
 		qt.Assert(t, blockOf(table, part).LateTrials, qt.Equals, 1)
 		table.ReturnTrial([]Part{part})
+		qt.Assert(t, table.GrantTrial([]Part{part}), qt.IsFalse, qt.Commentf("most likely all targets are down"))
+		clock.Advance(returnedTrialPause)
 	}
 	for range maxLateTrials {
 		qt.Assert(t, table.GrantTrial([]Part{part}), qt.IsTrue)
